Serve a request along the whole path, in separate processes

Cause: nothing stood yet. Fabric packets (IP in UDP) go through a stateless balancer to an agent, which owns the flow and hands its packets to its host; the gateway runs the request on the target.

Conclusion: the path is thin; ownership after old versions lapse, suspicion, retries and peers are to come.

--- /dev/null
+++ b/chicorycart/__init__.py
@@ -0,0 +1,1 @@
+"""A layer-4 load balancer whose nodes share no written state."""
--- /dev/null
+++ b/chicorycart/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent daemon beside a target."""
--- /dev/null
+++ b/chicorycart/agent/daemon.py
@@ -0,0 +1,100 @@
+"""Runs an agent from its settings until it is told to stop."""
+
+from asyncio import create_task
+from asyncio import Event
+from random import Random
+from typing import Any
+
+from prometheus_client import CollectorRegistry
+
+from chicorycart.agent.acceptance import TargetAcceptance
+from chicorycart.agent.delivery import Delivery
+from chicorycart.agent.host import DecapsulatingHost
+from chicorycart.clock import LoopClock
+from chicorycart.configuration.follow import follow_platform
+from chicorycart.configuration.model import hash_name
+from chicorycart.configuration.platform import PlatformClient
+from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.flows.openings import OpeningMemory
+from chicorycart.flows.table import FlowTable
+from chicorycart.links.datagrams import DatagramLink
+from chicorycart.links.datagrams import MessageKind
+from chicorycart.links.sockets import DatagramSocket
+from chicorycart.membership.sources import follow_instances
+from chicorycart.membership.sources import KnownSources
+from chicorycart.operation.decisions import DecisionLog
+from chicorycart.operation.endpoints import serve_endpoints
+from chicorycart.requests.gateway import serve_requests
+from chicorycart.settings.model import AgentSettings
+
+
+class Agent:
+    """An agent and its parts.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: AgentSettings):
+        daemon = settings.daemon
+        clock = LoopClock()
+        self.settings = settings
+        self.registry = CollectorRegistry()
+        self.store = ConfigurationStore(clock)
+        self.sources = KnownSources()
+        self.store.subscribe(self.sources)
+        self.data_socket = DatagramSocket(daemon.data)
+        self.link = DatagramLink(self.data_socket, self.sources, self.registry)
+        self.table = FlowTable(clock)
+        self.delivery = Delivery(
+            hash_name(settings.service),
+            DecapsulatingHost(self.data_socket, settings.decapsulation),
+            self.table,
+            OpeningMemory(clock),
+            TargetAcceptance(self.store, settings.service, settings.target),
+            self.link,
+            DecisionLog(daemon.log.decision_sample),
+            self.registry,
+        )
+        self.link.register(MessageKind.FORWARD, self.delivery)
+        self.platform = PlatformClient(daemon.platform)
+        self.stopping = False
+
+    def is_ready(self) -> bool:
+        """Tell whether a configuration is in force and no stop began."""
+        return self.store.current.version > 0 and not self.stopping
+
+    def describe_status(self) -> dict[str, Any]:
+        """Return name, role, version in force and owned flows."""
+        return {
+            "name": self.settings.daemon.name,
+            "role": "agent",
+            "service": self.settings.service,
+            "target": self.settings.target,
+            "ready": self.is_ready(),
+            "version": self.store.current.version,
+            "flows": len(self.table),
+        }
+
+    async def run(self, stop: Event) -> None:
+        """Serve until the event is set."""
+        daemon = self.settings.daemon
+        servers = [serve_endpoints(daemon.control, self.registry, self)]
+        if self.settings.gateway is not None:
+            servers.append(
+                serve_requests(self.settings.gateway, self.settings.backend)
+            )
+        tasks = [
+            create_task(follow_platform(self.platform, self.store, Random())),
+            create_task(follow_instances(self.platform, self.sources)),
+        ]
+        self.data_socket.start(self.link)
+        await stop.wait()
+        self.stopping = True
+        for task in tasks:
+            task.cancel()
+        for server in servers:
+            server.stop()
+        self.data_socket.close()
--- /dev/null
+++ b/chicorycart/agent/host.py
@@ -0,0 +1,26 @@
+"""Hands packets to the kernel of the agent's own instance."""
+
+from chicorycart.address import Address
+from chicorycart.links.sockets import DatagramSocket
+
+
+class DecapsulatingHost:
+    """The own instance, which unpacks IP in UDP as Linux ``fou`` does.
+
+    Parameters
+    ----------
+    socket : DatagramSocket
+        Sends the packets.
+    address : Address
+        The decapsulation port of the instance.
+    """
+
+    __slots__ = ("socket", "address")
+
+    def __init__(self, socket: DatagramSocket, address: Address):
+        self.socket = socket
+        self.address = address
+
+    def deliver(self, packet: bytes) -> None:
+        """Send an IPv4 packet to the decapsulation port."""
+        self.socket.send(packet, self.address)
--- /dev/null
+++ b/chicorycart/balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer daemon."""
--- /dev/null
+++ b/chicorycart/balancer/daemon.py
@@ -0,0 +1,84 @@
+"""Runs a balancer from its settings until it is told to stop."""
+
+from asyncio import create_task
+from asyncio import Event
+from random import Random
+from typing import Any
+
+from prometheus_client import CollectorRegistry
+
+from chicorycart.balancer.forwarding import ChainCache
+from chicorycart.balancer.forwarding import Forwarder
+from chicorycart.clock import LoopClock
+from chicorycart.configuration.follow import follow_platform
+from chicorycart.configuration.platform import PlatformClient
+from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.links.datagrams import DatagramLink
+from chicorycart.links.sockets import DatagramSocket
+from chicorycart.membership.sources import follow_instances
+from chicorycart.membership.sources import KnownSources
+from chicorycart.operation.decisions import DecisionLog
+from chicorycart.operation.endpoints import serve_endpoints
+from chicorycart.placement.chain import NoSuspicions
+from chicorycart.settings.model import BalancerSettings
+
+
+class Balancer:
+    """A balancer and its parts.
+
+    Parameters
+    ----------
+    settings : BalancerSettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: BalancerSettings):
+        daemon = settings.daemon
+        self.settings = settings
+        self.registry = CollectorRegistry()
+        self.store = ConfigurationStore(LoopClock())
+        self.sources = KnownSources()
+        self.store.subscribe(self.sources)
+        self.data_socket = DatagramSocket(daemon.data)
+        self.fabric_socket = DatagramSocket(settings.fabric)
+        self.link = DatagramLink(self.data_socket, self.sources, self.registry)
+        self.forwarder = Forwarder(
+            self.store,
+            ChainCache(self.store, NoSuspicions()),
+            self.link,
+            DecisionLog(daemon.log.decision_sample),
+            self.registry,
+        )
+        self.platform = PlatformClient(daemon.platform)
+        self.stopping = False
+
+    def is_ready(self) -> bool:
+        """Tell whether a configuration is in force and no stop began."""
+        return self.store.current.version > 0 and not self.stopping
+
+    def describe_status(self) -> dict[str, Any]:
+        """Return name, role and version in force."""
+        return {
+            "name": self.settings.daemon.name,
+            "role": "balancer",
+            "ready": self.is_ready(),
+            "version": self.store.current.version,
+        }
+
+    async def run(self, stop: Event) -> None:
+        """Serve until the event is set."""
+        daemon = self.settings.daemon
+        server = serve_endpoints(daemon.control, self.registry, self)
+        tasks = [
+            create_task(follow_platform(self.platform, self.store, Random())),
+            create_task(follow_instances(self.platform, self.sources)),
+        ]
+        self.data_socket.start(self.link)
+        self.fabric_socket.start(self.forwarder)
+        await stop.wait()
+        self.stopping = True
+        for task in tasks:
+            task.cancel()
+        self.fabric_socket.close()
+        self.data_socket.close()
+        server.stop()
--- /dev/null
+++ b/chicorycart/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command lines of the daemon and of the tool."""
--- /dev/null
+++ b/chicorycart/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The numbered configuration: parsed, checked and kept in force."""
--- /dev/null
+++ b/chicorycart/configuration/errors.py
@@ -0,0 +1,26 @@
+"""Errors of the configuration slice."""
+
+from chicorycart.errors import ChicorycartError
+
+
+class ConfigurationError(ChicorycartError):
+    """Any fault of a published configuration or of its source."""
+
+
+class InvalidConfigurationError(ConfigurationError):
+    """A published value that is refused whole.
+
+    Attributes
+    ----------
+    path : str
+        Where in the value the fault is.
+    """
+
+    def __init__(self, path: str, reason: str):
+        super().__init__(f"{path}: {reason}")
+        self.path = path
+        self.reason = reason
+
+
+class PlatformError(ConfigurationError):
+    """The platform did not answer, or not in its documented form."""
--- /dev/null
+++ b/chicorycart/configuration/model.py
@@ -0,0 +1,163 @@
+"""The configuration as the rest of the system sees it."""
+
+from enum import StrEnum
+from functools import cached_property
+
+from xxhash import xxh64_intdigest
+
+from chicorycart.address import Address
+
+
+def hash_name(name: str) -> int:
+    """Return the 64-bit hash that messages carry in place of a name."""
+    return xxh64_intdigest(name.encode())
+
+
+class ServiceKind(StrEnum):
+    """How the packets of a service reach its targets."""
+
+    HTTP = "http"
+    PACKET = "packet"
+
+
+class TargetState(StrEnum):
+    """Whether a target takes new work."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+
+
+class Target:
+    """One target of a service, with the agent beside it.
+
+    Attributes
+    ----------
+    name : str
+        Unique within the service.
+    agent : Address
+        Where the agent takes datagrams.
+    domain : str
+        Failure domain of its instance.
+    weight : float
+        Strength relative to the others, before any is measured.
+    slots : int
+        Requests that the target runs at once.
+    state : TargetState
+        Whether it takes new work.
+    """
+
+    __slots__ = ("name", "agent", "domain", "weight", "slots", "state", "seed")
+
+    def __init__(
+        self,
+        name: str,
+        agent: Address,
+        domain: str,
+        weight: float,
+        slots: int,
+        state: TargetState,
+    ):
+        self.name = name
+        self.agent = agent
+        self.domain = domain
+        self.weight = weight
+        self.slots = slots
+        self.state = state
+        self.seed = hash_name(name)
+
+    @property
+    def takes_new_work(self) -> bool:
+        """Whether opening flows may be placed here."""
+        return self.state is TargetState.ACTIVE
+
+
+class Entry:
+    """The address at which callers reach a service.
+
+    Attributes
+    ----------
+    address : Address
+        Destination address and port of the callers' packets.
+    protocol : int
+        IP protocol number, 6 for TCP or 17 for UDP.
+    """
+
+    __slots__ = ("address", "protocol")
+
+    def __init__(self, address: Address, protocol: int):
+        self.address = address
+        self.protocol = protocol
+
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """Host, port and protocol, for look-ups."""
+        return (*self.address, self.protocol)
+
+
+class Service:
+    """A named entry, its kind and its targets.
+
+    Attributes
+    ----------
+    name : str
+        Unique name.
+    identifier : int
+        64-bit hash of the name, used in messages.
+    entry : Entry
+        Where callers reach it.
+    kind : ServiceKind
+        How packets reach the targets.
+    targets : tuple of Target
+        In order of name.
+    """
+
+    __slots__ = ("name", "identifier", "entry", "kind", "targets")
+
+    def __init__(
+        self,
+        name: str,
+        entry: Entry,
+        kind: ServiceKind,
+        targets: tuple[Target, ...],
+    ):
+        self.name = name
+        self.identifier = hash_name(name)
+        self.entry = entry
+        self.kind = kind
+        self.targets = targets
+
+    def find_target(self, name: str) -> Target | None:
+        """Return the target of that name, if there is one."""
+        for target in self.targets:
+            if target.name == name:
+                return target
+        return None
+
+
+class Configuration:
+    """All services at one version; never changed once made.
+
+    Attributes
+    ----------
+    version : int
+        Number given by the platform; 0 means that none was read yet.
+    services : dict of str to Service
+        By name.
+    """
+
+    def __init__(self, version: int, services: dict[str, Service]):
+        self.version = version
+        self.services = services
+
+    @cached_property
+    def by_entry(self) -> dict[tuple[str, int, int], Service]:
+        """Services by host, port and protocol of their entry."""
+        return {s.entry.key: s for s in self.services.values()}
+
+    @cached_property
+    def by_identifier(self) -> dict[int, Service]:
+        """Services by the identifier that messages carry."""
+        return {s.identifier: s for s in self.services.values()}
+
+
+EMPTY_CONFIGURATION = Configuration(0, {})
--- /dev/null
+++ b/chicorycart/links/__init__.py
@@ -0,0 +1,1 @@
+"""Datagrams between the processes of the system."""
--- /dev/null
+++ b/chicorycart/links/datagrams.py
@@ -0,0 +1,97 @@
+"""The messages that processes of the system exchange over UDP."""
+
+from enum import IntEnum
+from typing import Protocol
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+
+from chicorycart.address import Address
+from chicorycart.errors import ChicorycartError
+from chicorycart.links.sockets import DatagramSocket
+
+
+class MessageKind(IntEnum):
+    """The first byte of every datagram between processes."""
+
+    FORWARD = 1
+
+
+class Receiver(Protocol):
+    """Something that takes the messages of one kind."""
+
+    def receive(self, body: bytes, source: Address) -> None:
+        """Take one message without its kind byte."""
+
+
+class SourceFilter(Protocol):
+    """Decides whose datagrams are taken."""
+
+    def is_known(self, host: str) -> bool:
+        """Tell whether an instance of the system has this address."""
+
+
+class Sender(Protocol):
+    """Something that sends messages to other processes."""
+
+    def send(
+        self, kind: MessageKind, body: bytes, destination: Address
+    ) -> None:
+        """Send one message; it may be lost without notice."""
+
+
+class DatagramLink:
+    """Sends and receives messages over one UDP socket.
+
+    Parameters
+    ----------
+    socket : DatagramSocket
+        The socket to use.
+    sources : SourceFilter
+        Whose datagrams are taken; others are counted and dropped.
+    registry : CollectorRegistry
+        Where the counters are registered.
+    """
+
+    __slots__ = ("socket", "sources", "receivers", "dropped")
+
+    def __init__(
+        self,
+        socket: DatagramSocket,
+        sources: SourceFilter,
+        registry: CollectorRegistry,
+    ):
+        self.socket = socket
+        self.sources = sources
+        self.receivers: dict[int, Receiver] = {}
+        self.dropped = Counter(
+            "chicorycart_datagrams_dropped",
+            "System datagrams that were not taken, by reason.",
+            ["reason"],
+            registry=registry,
+        )
+
+    def register(self, kind: MessageKind, receiver: Receiver) -> None:
+        """Hand the messages of one kind to the receiver."""
+        self.receivers[kind] = receiver
+
+    def take(self, data: bytes, source: Address) -> None:
+        """Hand one datagram to its receiver, or count why not."""
+        if not self.sources.is_known(source.host):
+            self.dropped.labels("foreign").inc()
+            return
+        receiver = self.receivers.get(data[0]) if data else None
+        if receiver is None:
+            self.dropped.labels("unknown kind").inc()
+            return
+        try:
+            receiver.receive(data[1:], source)
+        except ChicorycartError:
+            self.dropped.labels("malformed").inc()
+
+    def send(
+        self, kind: MessageKind, body: bytes, destination: Address
+    ) -> None:
+        """Send one message; count it if the kernel has no room."""
+        if not self.socket.send(bytes((kind,)) + body, destination):
+            self.dropped.labels("not sent").inc()
--- /dev/null
+++ b/chicorycart/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances exist and which are suspected to be dead."""
--- /dev/null
+++ b/chicorycart/operation/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and status pages of a daemon."""
--- /dev/null
+++ b/chicorycart/operation/endpoints.py
@@ -0,0 +1,90 @@
+"""Serves metrics, health, readiness and status of a daemon."""
+
+from typing import Any
+from typing import Protocol
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import CONTENT_TYPE_LATEST
+from prometheus_client import generate_latest
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+from chicorycart.address import Address
+
+UNAVAILABLE = 503
+
+
+class StatusSource(Protocol):
+    """A daemon that can tell how it is."""
+
+    def is_ready(self) -> bool:
+        """Tell whether the daemon takes new work."""
+
+    def describe_status(self) -> dict[str, Any]:
+        """Return the status as JSON values."""
+
+
+class MetricsHandler(RequestHandler):
+    """Answers with the metrics in the Prometheus text format."""
+
+    def initialize(self, registry: CollectorRegistry) -> None:
+        """Take the registry to report."""
+        self.registry = registry
+
+    def get(self) -> None:
+        """Answer ``GET /metrics``."""
+        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
+        self.write(generate_latest(self.registry))
+
+
+class HealthHandler(RequestHandler):
+    """Answers as long as the event loop runs."""
+
+    def get(self) -> None:
+        """Answer ``GET /healthz``."""
+        self.write("ok\n")
+
+
+class ReadyHandler(RequestHandler):
+    """Answers whether the daemon takes new work."""
+
+    def initialize(self, source: StatusSource) -> None:
+        """Take the daemon to ask."""
+        self.source = source
+
+    def get(self) -> None:
+        """Answer ``GET /readyz``."""
+        if self.source.is_ready():
+            self.write("ready\n")
+            return
+        self.set_status(UNAVAILABLE)
+        self.write("not ready\n")
+
+
+class StatusHandler(RequestHandler):
+    """Answers with the status as JSON."""
+
+    def initialize(self, source: StatusSource) -> None:
+        """Take the daemon to ask."""
+        self.source = source
+
+    def get(self) -> None:
+        """Answer ``GET /status``."""
+        self.write(self.source.describe_status())
+
+
+def serve_endpoints(
+    address: Address, registry: CollectorRegistry, source: StatusSource
+) -> HTTPServer:
+    """Listen on the control address of a daemon."""
+    application = Application(
+        [
+            ("/metrics", MetricsHandler, {"registry": registry}),
+            ("/healthz", HealthHandler),
+            ("/readyz", ReadyHandler, {"source": source}),
+            ("/status", StatusHandler, {"source": source}),
+        ],
+        log_function=lambda handler: None,
+    )
+    return application.listen(address.port, address.host)
--- /dev/null
+++ b/chicorycart/packets/__init__.py
@@ -0,0 +1,1 @@
+"""The packets of callers and their wire formats."""
--- /dev/null
+++ b/chicorycart/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which targets a flow may go to, and in which order."""
--- /dev/null
+++ b/chicorycart/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The request gateway in front of one target."""
--- /dev/null
+++ b/chicorycart/settings/model.py
@@ -0,0 +1,137 @@
+"""The settings of each daemon as plain objects."""
+
+from chicorycart.address import Address
+from chicorycart.defaults import LOG_SAMPLE
+
+DEFAULT_LOG_LEVEL = "info"
+
+
+class LogSettings:
+    """What is logged.
+
+    Attributes
+    ----------
+    level : str
+        Lowest level that is written.
+    decision_sample : float
+        Share of flows whose routing decisions are logged, 0 to 1.
+    """
+
+    __slots__ = ("level", "decision_sample")
+
+    def __init__(
+        self,
+        level: str = DEFAULT_LOG_LEVEL,
+        decision_sample: float = LOG_SAMPLE,
+    ):
+        self.level = level
+        self.decision_sample = decision_sample
+
+
+class DaemonSettings:
+    """What every daemon is told.
+
+    Attributes
+    ----------
+    name : str
+        Unique name of the instance.
+    region, domain : str
+        Region and failure domain that the instance stands in.
+    data : Address
+        Where datagrams of the system are taken.
+    control : Address
+        Where metrics, health and status are served.
+    platform : list of str
+        Base addresses of the platform's configuration service.
+    log : LogSettings
+        What is logged.
+    """
+
+    __slots__ = (
+        "name",
+        "region",
+        "domain",
+        "data",
+        "control",
+        "platform",
+        "log",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        region: str,
+        domain: str,
+        data: Address,
+        control: Address,
+        platform: list[str],
+        log: LogSettings,
+    ):
+        self.name = name
+        self.region = region
+        self.domain = domain
+        self.data = data
+        self.control = control
+        self.platform = platform
+        self.log = log
+
+
+class BalancerSettings:
+    """What a balancer is told.
+
+    Attributes
+    ----------
+    daemon : DaemonSettings
+        What every daemon is told.
+    fabric : Address
+        Where the fabric sends callers' packets, IP in UDP.
+    """
+
+    __slots__ = ("daemon", "fabric")
+
+    def __init__(self, daemon: DaemonSettings, fabric: Address):
+        self.daemon = daemon
+        self.fabric = fabric
+
+
+class AgentSettings:
+    """What an agent is told.
+
+    Attributes
+    ----------
+    daemon : DaemonSettings
+        What every daemon is told.
+    service, target : str
+        The target that the agent stands beside, and its service.
+    decapsulation : Address
+        Port of the own host that unpacks IP in UDP.
+    backend : Address
+        Where the target itself listens.
+    gateway : Address or None
+        Where the request gateway listens; needed for kind http.
+    """
+
+    __slots__ = (
+        "daemon",
+        "service",
+        "target",
+        "decapsulation",
+        "backend",
+        "gateway",
+    )
+
+    def __init__(
+        self,
+        daemon: DaemonSettings,
+        service: str,
+        target: str,
+        decapsulation: Address,
+        backend: Address,
+        gateway: Address | None,
+    ):
+        self.daemon = daemon
+        self.service = service
+        self.target = target
+        self.decapsulation = decapsulation
+        self.backend = backend
+        self.gateway = gateway
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Shows the whole path on loopback, among stand-ins."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""The tests, laid out like the package."""
--- /dev/null
+++ b/tests/environment.py
@@ -0,0 +1,35 @@
+"""Hooks of behave: fixed seeds, one event loop and clean-up a scenario."""
+
+from asyncio import Runner
+from asyncio import SelectorEventLoop
+from contextlib import ExitStack
+import random
+
+from hypothesis import settings
+
+from tests.standins.virtual import VirtualLoop
+
+settings.register_profile(
+    "ci", derandomize=True, database=None, deadline=None, max_examples=200
+)
+settings.load_profile("ci")
+
+
+def before_scenario(context, scenario):
+    """Give each scenario its own seed, event loop and clean-ups.
+
+    Scenarios tagged ``virtual`` run on virtual time. ``context.run`` runs a
+    coroutine to its end; ``context.cleanups`` is an ``ExitStack``.
+    """
+    random.seed(1)
+    is_virtual = "virtual" in scenario.effective_tags
+    factory = VirtualLoop if is_virtual else SelectorEventLoop
+    runner = Runner(loop_factory=factory)
+    context.cleanups = ExitStack()
+    context.cleanups.callback(runner.close)
+    context.run = runner.run
+
+
+def after_scenario(context, scenario):
+    """Stop what the scenario started."""
+    context.cleanups.close()
--- /dev/null
+++ b/tests/placement/chain.feature
@@ -0,0 +1,22 @@
+Feature: The chain of a flow
+
+  Scenario: Every instance gives the same answer to the same input
+    Given a service of 5 targets "t-1" to "t-5" of weight 1
+    Then bucket 0 has the candidates "t-1, t-3"
+    And bucket 1 has the candidates "t-5, t-1"
+    And bucket 4095 has the candidates "t-1, t-3"
+
+  Scenario: Each target gets its share of the weight
+    Given a service of 5 targets "t-1" to "t-5" of weight 1
+    And target "t-1" has weight 4
+    Then "t-1" is the first candidate of between 47 % and 53 % of the buckets
+
+  Scenario: A draining target moves only its own buckets
+    Given a service of 5 targets "t-1" to "t-5" of weight 1
+    When target "t-2" drains
+    Then only buckets that had "t-2" as a candidate have other candidates
+
+  Scenario: A suspected target goes to the end of the chain, not out of it
+    Given a service of 5 targets "t-1" to "t-5" of weight 1
+    When the first candidate of bucket 7 is suspected
+    Then it stands last in the chain of bucket 7
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what surrounds the system."""
--- /dev/null
+++ b/tests/system/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios over the whole system, its daemons as real processes."""
--- /dev/null
+++ b/tests/system/path_steps.py
@@ -0,0 +1,103 @@
+"""Steps that send requests through the whole system."""
+
+from asyncio import ensure_future
+from asyncio import sleep
+
+from behave import given
+from behave import then
+from behave import when
+
+from tests.standins.layout import Network
+from tests.standins.layout import plan_small
+from tests.standins.target import DIAGRAM_BYTES
+from tests.standins.world import World
+
+MID_DOWNLOAD_SECONDS = 0.2
+
+
+class Answer:
+    """An answer, with what it should be."""
+
+    def __init__(self, service, response, size):
+        self.service = service
+        self.response = response
+        self.size = size
+
+
+@given("both small services behind {balancers:d} balancers")
+def start_world(context, balancers):
+    network = Network()
+    context.world = World(network, plan_small(network))
+    context.cleanups.callback(lambda: context.run(context.world.close()))
+    context.run(context.world.start(balancers))
+    context.answers = []
+
+
+@given("the fabric loses {loss:d} % and reorders {late:d} % of the packets")
+def make_fabric_bad(context, loss, late):
+    context.world.fabric.loss = loss / 100
+    context.world.fabric.reorder = late / 100
+
+
+@when('a caller books "{booking}" at "{service}"')
+def book(context, booking, service):
+    response = context.run(context.world.book(service, booking))
+    size = len(f"booked {booking}\n")
+    context.answers.append(Answer(service, response, size))
+
+
+@when('a caller downloads the diagram of "{service}"')
+def download(context, service):
+    response = context.run(context.world.request(service, "/diagram"))
+    context.answers.append(Answer(service, response, DIAGRAM_BYTES))
+
+
+@when('a caller reads {lines:d} lines of the feed of "{service}"')
+def read_feed(context, lines, service):
+    path = f"/feed?lines={lines}"
+    response = context.run(context.world.request(service, path))
+    size = sum(len(f"{number}\n") for number in range(lines))
+    context.answers.append(Answer(service, response, size))
+
+
+@when('a caller begins to download the diagram of "{service}"')
+def begin_download(context, service):
+    async def begin():
+        request = context.world.request(service, "/diagram")
+        context.download = ensure_future(request)
+        await sleep(MID_DOWNLOAD_SECONDS)
+
+    context.download_service = service
+    context.run(begin())
+    assert not context.download.done()
+
+
+@when("balancer {number:d} is killed")
+def kill_balancer(context, number):
+    context.run(context.world.kill(f"balancer-{number}"))
+
+
+@when("the download ends")
+def end_download(context):
+    async def end():
+        return await context.download
+
+    response = context.run(end())
+    answer = Answer(context.download_service, response, DIAGRAM_BYTES)
+    context.answers.append(answer)
+
+
+@then("every answer is whole and from a target of its own service")
+def check_answers(context):
+    assert context.answers
+    for answer in context.answers:
+        response = answer.response
+        assert response.code == 200, response.error
+        assert len(response.body) == answer.size, len(response.body)
+        assert response.headers["X-Service"] == answer.service
+
+
+@then('"{booking}" ran once')
+def check_runs(context, booking):
+    targets = context.world.targets.values()
+    assert sum(target.runs[booking] for target in targets) == 1
