--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -10,6 +10,7 @@
 from chicorycart.agent.acceptance import TargetAcceptance
 from chicorycart.agent.delivery import Delivery
 from chicorycart.agent.host import DecapsulatingHost
+from chicorycart.agent.pages import list_pages
 from chicorycart.clock import LoopClock
 from chicorycart.configuration.follow import follow_platform
 from chicorycart.configuration.model import hash_name
@@ -68,6 +69,7 @@
 
     def describe_status(self) -> dict[str, Any]:
         """Return name, role, version in force and owned flows."""
+        self.table.expire()
         return {
             "name": self.settings.daemon.name,
             "role": "agent",
@@ -81,7 +83,8 @@
     async def run(self, stop: Event) -> None:
         """Serve until the event is set."""
         daemon = self.settings.daemon
-        servers = [serve_endpoints(daemon.control, self.registry, self)]
+        pages = list_pages(self.settings.target, self.table)
+        servers = [serve_endpoints(daemon.control, self.registry, self, pages)]
         if self.settings.gateway is not None:
             servers.append(
                 serve_requests(self.settings.gateway, self.settings.backend)
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -62,3 +62,9 @@
 
 LOG_SAMPLE = 1.0
 """Share of routing decisions that are logged."""
+
+TOOL_TIMEOUT_SECONDS = 5.0
+"""Time the command-line tool gives one daemon to answer."""
+
+DRAIN_POLL_SECONDS = 1.0
+"""Time between two looks at a target whose drain is followed."""
--- a/chicorycart/flows/table.py
+++ b/chicorycart/flows/table.py
@@ -14,11 +14,12 @@
         Measures silence.
     """
 
-    __slots__ = ("clock", "expiry")
+    __slots__ = ("clock", "expiry", "closing")
 
     def __init__(self, clock: Clock):
         self.clock = clock
         self.expiry: dict[bytes, float] = {}
+        self.closing: set[bytes] = set()
 
     def __len__(self) -> int:
         return len(self.expiry)
@@ -29,7 +30,14 @@
         return expiry is not None and expiry > self.clock.now()
 
     def touch(self, flow: bytes, is_closing: bool) -> None:
-        """Own the flow from now on; a closing one only for a short time."""
+        """Own the flow from now on; a closing one only for a short time.
+
+        Packets that follow the close do not make the flow last longer.
+        """
+        if flow in self.closing:
+            return
+        if is_closing:
+            self.closing.add(flow)
         lifetime = CLOSED_FLOW_SECONDS if is_closing else FLOW_IDLE_SECONDS
         self.expiry[flow] = self.clock.now() + lifetime
 
@@ -39,4 +47,5 @@
         silent = [f for f, expiry in self.expiry.items() if expiry <= now]
         for flow in silent:
             del self.expiry[flow]
+            self.closing.discard(flow)
         return len(silent)
--- a/chicorycart/operation/endpoints.py
+++ b/chicorycart/operation/endpoints.py
@@ -1,5 +1,6 @@
 """Serves metrics, health, readiness and status of a daemon."""
 
+from collections.abc import Sequence
 from typing import Any
 from typing import Protocol
 
@@ -7,6 +8,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 from prometheus_client import generate_latest
 from tornado.httpserver import HTTPServer
+from tornado.routing import Rule
 from tornado.web import Application
 from tornado.web import RequestHandler
 
@@ -75,11 +77,27 @@
 
 
 def serve_endpoints(
-    address: Address, registry: CollectorRegistry, source: StatusSource
+    address: Address,
+    registry: CollectorRegistry,
+    source: StatusSource,
+    routes: Sequence[Rule] = (),
 ) -> HTTPServer:
-    """Listen on the control address of a daemon."""
+    """Listen on the control address of a daemon.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen.
+    registry : CollectorRegistry
+        The metrics to report.
+    source : StatusSource
+        The daemon to ask.
+    routes : sequence of Rule
+        Pages that only this daemon has.
+    """
     application = Application(
         [
+            *routes,
             ("/metrics", MetricsHandler, {"registry": registry}),
             ("/healthz", HealthHandler),
             ("/readyz", ReadyHandler, {"source": source}),
--- a/tests/system/path_steps.py
+++ b/tests/system/path_steps.py
@@ -24,6 +24,11 @@
         self.size = size
 
 
+def size_feed(lines):
+    """Return the bytes of a feed of so many lines."""
+    return sum(len(f"{number}\n") for number in range(lines))
+
+
 @given("both small services behind {balancers:d} balancers")
 def start_world(context, balancers):
     network = Network()
@@ -56,20 +61,31 @@
 def read_feed(context, lines, service):
     path = f"/feed?lines={lines}"
     response = context.run(context.world.request(service, path))
-    size = sum(len(f"{number}\n") for number in range(lines))
-    context.answers.append(Answer(service, response, size))
+    context.answers.append(Answer(service, response, size_feed(lines)))
+
+
+def begin(context, service, path, size):
+    """Begin a request that goes on during later steps."""
+
+    async def start():
+        request = context.world.request(service, path)
+        context.open_request = ensure_future(request)
+        await sleep(MID_DOWNLOAD_SECONDS)
+
+    context.open_service = service
+    context.open_size = size
+    context.run(start())
+    assert not context.open_request.done()
 
 
 @when('a caller begins to download the diagram of "{service}"')
 def begin_download(context, service):
-    async def begin():
-        request = context.world.request(service, "/diagram")
-        context.download = ensure_future(request)
-        await sleep(MID_DOWNLOAD_SECONDS)
+    begin(context, service, "/diagram", DIAGRAM_BYTES)
+
 
-    context.download_service = service
-    context.run(begin())
-    assert not context.download.done()
+@when('a caller begins to read {lines:d} lines of the feed of "{service}"')
+def begin_feed(context, lines, service):
+    begin(context, service, f"/feed?lines={lines}", size_feed(lines))
 
 
 @when("balancer {number:d} is killed")
@@ -78,12 +94,13 @@
 
 
 @when("the download ends")
-def end_download(context):
+@when("the feed ends")
+def end_open_request(context):
     async def end():
-        return await context.download
+        return await context.open_request
 
     response = context.run(end())
-    answer = Answer(context.download_service, response, DIAGRAM_BYTES)
+    answer = Answer(context.open_service, response, context.open_size)
     context.answers.append(answer)
 
 
