--- /dev/null
+++ b/tests/docs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that the docs name only what exists."""
--- /dev/null
+++ b/tests/docs/names.feature
@@ -0,0 +1,16 @@
+Feature: The docs name only what exists
+
+  Scenario: Every command in the docs exists
+    Then each chicorycart, chicorycartd, make and python -m command exists
+
+  Scenario Outline: The settings reference and the schema agree
+    Then "<page>" lists just the settings of "<schema>" under "<heading>"
+
+    Examples:
+      | page             | schema                             | heading  |
+      | settings.md      | settings/balancer.schema.json      | Balancer |
+      | settings.md      | settings/agent.schema.json         | Agent    |
+      | configuration-reference.md | configuration/service.schema.json | Service |
+
+  Scenario: Every page that is linked exists
+    Then each relative link between the pages leads to a file
--- a/tests/system/path.feature
+++ b/tests/system/path.feature
@@ -20,3 +20,9 @@
     And balancer 2 is killed
     And the download ends
     Then every answer is whole and from a target of its own service
+
+  Scenario: A thousand requests are answered whole by their own services
+    Given both small services behind 3 balancers
+    When 1000 callers book, 20 at a time, at both services
+    Then every answer is whole and from a target of its own service
+    And each of the bookings ran once
--- a/tests/system/path_steps.py
+++ b/tests/system/path_steps.py
@@ -1,7 +1,9 @@
 """Steps that send requests through the whole system."""
 
 from asyncio import ensure_future
+from asyncio import gather
 from asyncio import sleep
+from collections import Counter
 
 from behave import given
 from behave import then
@@ -118,3 +120,27 @@
 def check_runs(context, booking):
     targets = context.world.targets.values()
     assert sum(target.runs[booking] for target in targets) == 1
+
+
+@when("{count:d} callers book, {width:d} at a time, at both services")
+def book_many(context, count, width):
+    async def work(numbers):
+        for number in numbers:
+            service = "dispatch" if number % 2 else "catalogue"
+            response = await context.world.book(service, f"n-{number}")
+            size = len(f"booked n-{number}\n")
+            context.answers.append(Answer(service, response, size))
+
+    async def work_all():
+        numbers = iter(range(count))
+        await gather(*(work(numbers) for _ in range(width)))
+
+    context.run(work_all())
+    context.bookings = {f"n-{number}" for number in range(count)}
+
+
+@then("each of the bookings ran once")
+def check_all_runs(context):
+    runs = sum((t.runs for t in context.world.targets.values()), Counter())
+    assert set(runs) == context.bookings
+    assert set(runs.values()) == {1}
