--- a/tests/docs/names_steps.py
+++ b/tests/docs/names_steps.py
@@ -11,7 +11,9 @@
 from tests.standins.world import ROOT
 
 PAGES = [*ROOT.glob("*.md"), *ROOT.glob("docs/*.md")]
-CODE = re.compile(r"```.*?```|`[^`\n]+`|^    [^\n]+$", re.MULTILINE | re.DOTALL)
+CODE = re.compile(
+    r"```.*?```|`[^`\n]+`|^    [^\n]+$", re.MULTILINE | re.DOTALL
+)
 COMMAND = re.compile(r"\b(chicorycartd?|make|python -m) ([a-z][\w.-]*)")
 ROW = re.compile(r"^\| `([\w.\[\]]+)`", re.MULTILINE)
 LINK = re.compile(r"\]\(([^)#:]+)\)")
