Run requests within slots, deadlines and a retry budget

The first gateway sent every request on at once, ten at a time, held whole bodies and could not tell a refused request from a lost one. The gateway now reads and writes both bodies as streams, opens a connection for each request, keeps at most the target's slots in progress, refuses at once what would miss its deadline, and sends a request to a mate only if it certainly was not run or may run again, within a token bucket.

Kept connections were ruled out: a target that closes one as a booking is written leaves its outcome unknown, and one that went silent is found only by a request that it costs.

--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -24,7 +24,9 @@
 from chicorycart.membership.sources import KnownSources
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.operation.endpoints import serve_endpoints
-from chicorycart.requests.gateway import serve_requests
+from chicorycart.requests.build import build_gateway
+from chicorycart.requests.mates import NoMateLoads
+from chicorycart.requests.server import RequestServer
 from chicorycart.settings.model import AgentSettings
 
 
@@ -61,6 +63,18 @@
         self.link.register(MessageKind.FORWARD, self.delivery)
         self.platform = PlatformClient(daemon.platform)
         self.stopping = False
+        self.requests: RequestServer | None = None
+        if settings.gateway is not None:
+            gateway = build_gateway(
+                settings,
+                self.store,
+                self.sources,
+                NoMateLoads(),
+                clock,
+                Random(),
+                self.registry,
+            )
+            self.requests = RequestServer(gateway)
 
     def is_ready(self) -> bool:
         """Tell whether a configuration is in force and no stop began."""
@@ -82,10 +96,8 @@
         """Serve until the event is set."""
         daemon = self.settings.daemon
         servers = [serve_endpoints(daemon.control, self.registry, self)]
-        if self.settings.gateway is not None:
-            servers.append(
-                serve_requests(self.settings.gateway, self.settings.backend)
-            )
+        if self.requests is not None:
+            self.requests.listen(self.settings.gateway)
         tasks = [
             create_task(follow_platform(self.platform, self.store, Random())),
             create_task(follow_instances(self.platform, self.sources)),
@@ -93,6 +105,8 @@
         self.data_socket.start(self.link)
         await stop.wait()
         self.stopping = True
+        if self.requests is not None:
+            await self.requests.stop(self.settings.stop_seconds)
         for task in tasks:
             task.cancel()
         for server in servers:
--- a/chicorycart/configuration/model.py
+++ b/chicorycart/configuration/model.py
@@ -44,9 +44,20 @@
         Requests that the target runs at once.
     state : TargetState
         Whether it takes new work.
+    gateway : Address or None
+        Where the agent's request gateway takes forwarded requests.
     """
 
-    __slots__ = ("name", "agent", "domain", "weight", "slots", "state", "seed")
+    __slots__ = (
+        "name",
+        "agent",
+        "domain",
+        "weight",
+        "slots",
+        "state",
+        "seed",
+        "gateway",
+    )
 
     def __init__(
         self,
@@ -56,6 +67,7 @@
         weight: float,
         slots: int,
         state: TargetState,
+        gateway: Address | None = None,
     ):
         self.name = name
         self.agent = agent
@@ -64,6 +76,7 @@
         self.slots = slots
         self.state = state
         self.seed = hash_name(name)
+        self.gateway = gateway
 
     @property
     def takes_new_work(self) -> bool:
--- a/chicorycart/configuration/parse.py
+++ b/chicorycart/configuration/parse.py
@@ -65,6 +65,7 @@
 
 def parse_target(path: str, value: dict[str, Any]) -> Target:
     """Build one target from a value that the schema has passed."""
+    gateway = value.get("gateway")
     return Target(
         value["name"],
         read_address(f"{path}.agent", value["agent"]),
@@ -72,6 +73,7 @@
         float(value.get("weight", DEFAULT_WEIGHT)),
         value.get("slots", DEFAULT_SLOTS),
         TargetState(value.get("state", "active")),
+        gateway and read_address(f"{path}.gateway", gateway),
     )
 
 
--- /dev/null
+++ b/chicorycart/requests/build.py
@@ -0,0 +1,49 @@
+"""Puts a gateway together from an agent's settings."""
+
+from random import Random
+from time import time
+
+from prometheus_client import CollectorRegistry
+
+from chicorycart.clock import Clock
+from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.defaults import START_SERVICE_SECONDS
+from chicorycart.membership.sources import KnownSources
+from chicorycart.placement.load import MateLoads
+from chicorycart.requests.budget import RetryBudget
+from chicorycart.requests.gateway import Gateway
+from chicorycart.requests.mates import Mates
+from chicorycart.requests.rate import ServiceTime
+from chicorycart.requests.seen import SeenRequests
+from chicorycart.requests.slots import Slots
+from chicorycart.settings.model import AgentSettings
+
+
+def build_gateway(
+    settings: AgentSettings,
+    store: ConfigurationStore,
+    sources: KnownSources,
+    loads: MateLoads,
+    clock: Clock,
+    random: Random,
+    registry: CollectorRegistry,
+) -> Gateway:
+    """Build the gateway and let it follow the configuration."""
+    gateway = Gateway(
+        settings.gateway,
+        settings.backend,
+        Slots(clock, ServiceTime(START_SERVICE_SECONDS), 1),
+        Mates(store, settings.service, settings.target, loads, clock, random),
+        RetryBudget(),
+        SeenRequests(time),
+        sources,
+        clock,
+        time,
+        random,
+        settings.deadline_seconds,
+        settings.daemon.log.decision_sample,
+        registry,
+    )
+    store.subscribe(gateway)
+    gateway.change_configuration(store.current)
+    return gateway
--- /dev/null
+++ b/chicorycart/requests/exchange.py
@@ -0,0 +1,234 @@
+"""Sends one request over one new connection and reads its answer."""
+
+from asyncio import create_task
+from asyncio import get_running_loop
+from asyncio import Task
+from asyncio import timeout
+from asyncio import timeout_at
+from collections.abc import AsyncIterator
+from socket import AF_INET
+from socket import IPPROTO_TCP
+from socket import SO_KEEPALIVE
+from socket import SOCK_STREAM
+from socket import socket
+from socket import SOL_SOCKET
+from socket import TCP_KEEPCNT
+from socket import TCP_KEEPIDLE
+from socket import TCP_KEEPINTVL
+from socket import TCP_USER_TIMEOUT
+
+from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1ConnectionParameters
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import RequestStartLine
+from tornado.httputil import ResponseStartLine
+from tornado.iostream import IOStream
+from tornado.iostream import StreamClosedError
+
+from chicorycart.address import Address
+from chicorycart.defaults import CHUNK_BYTES
+from chicorycart.defaults import CONNECT_SECONDS
+from chicorycart.defaults import KEEPALIVE_IDLE_SECONDS
+from chicorycart.defaults import KEEPALIVE_INTERVAL_SECONDS
+from chicorycart.defaults import KEEPALIVE_PROBES
+from chicorycart.defaults import MAX_HEADER_READ_BYTES
+from chicorycart.requests.body import RequestBody
+from chicorycart.requests.errors import AnswerCutError
+from chicorycart.requests.errors import BadRequestError
+from chicorycart.requests.errors import NotRunError
+from chicorycart.requests.errors import OutcomeUnknownError
+from chicorycart.requests.pipe import Pipe
+
+GATEWAY_TIMEOUT = 504
+FIRST_FINAL_STATUS = 200
+UNBOUNDED_BYTES = 1 << 50
+MILLISECONDS = 1_000
+PARAMETERS = HTTP1ConnectionParameters(
+    chunk_size=CHUNK_BYTES,
+    max_header_size=MAX_HEADER_READ_BYTES,
+    max_body_size=UNBOUNDED_BYTES,
+)
+
+
+class AnswerHead:
+    """Status line and fields of an answer."""
+
+    __slots__ = ("line", "headers")
+
+    def __init__(self, line: ResponseStartLine, headers: HTTPHeaders):
+        self.line = line
+        self.headers = headers
+
+
+class AnswerReader(HTTPMessageDelegate):
+    """Takes an answer from a connection, as fast as it is passed on."""
+
+    def __init__(self, stream: IOStream):
+        self.stream = stream
+        self.head = get_running_loop().create_future()
+        self.pipe = Pipe()
+
+    def headers_received(
+        self, start_line: ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Take the head; interim answers are left out."""
+        if start_line.code >= FIRST_FINAL_STATUS and not self.head.done():
+            self.head.set_result(AnswerHead(start_line, headers))
+
+    async def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        await self.pipe.put(chunk)
+
+    def finish(self) -> None:
+        """Take the end, unless the connection broke rather than closed."""
+        if self.stream.error is None:
+            self.pipe.end()
+        else:
+            self.break_off()
+
+    def on_connection_close(self) -> None:
+        """Take the end of the connection before that of the answer."""
+        self.break_off()
+
+    def break_off(self) -> None:
+        """Say that the rest will not come."""
+        if not self.head.done():
+            self.head.set_exception(
+                OutcomeUnknownError("the connection ended without an answer")
+            )
+            self.head.exception()
+        self.pipe.fail(AnswerCutError("the answer broke off"))
+
+
+class Exchange:
+    """One request and its answer on a connection of their own.
+
+    Connections are not used again, so none can have gone silent before a
+    request is sent over it.
+    """
+
+    __slots__ = ("stream", "connection", "reader", "tasks")
+
+    def __init__(self, stream: IOStream):
+        self.stream = stream
+        self.connection = HTTP1Connection(stream, True, PARAMETERS)
+        self.reader = AnswerReader(stream)
+        self.tasks: list[Task] = []
+
+    async def run(
+        self,
+        line: RequestStartLine,
+        headers: HTTPHeaders,
+        body: RequestBody,
+        deadline: float,
+    ) -> AnswerHead:
+        """Send the request and return the head of its answer.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If no answer begins before the deadline (of the loop's time) or
+            the connection breaks.
+        """
+        self.tasks = [
+            create_task(self.receive()),
+            create_task(self.send(line, headers, body)),
+        ]
+        try:
+            async with timeout_at(deadline):
+                return await self.reader.head
+        except TimeoutError as error:
+            raise OutcomeUnknownError(
+                "no answer began before the deadline", GATEWAY_TIMEOUT
+            ) from error
+
+    async def send(
+        self, line: RequestStartLine, headers: HTTPHeaders, body: RequestBody
+    ) -> None:
+        """Write the request as fast as it is taken."""
+        try:
+            await self.connection.write_headers(line, headers)
+            async for chunk in body.chunks():
+                await self.connection.write(chunk)
+            self.connection.finish()
+        except StreamClosedError:
+            self.reader.break_off()
+        except BadRequestError as error:
+            if not self.reader.head.done():
+                self.reader.head.set_exception(
+                    OutcomeUnknownError(str(error), error.status)
+                )
+            self.stream.close()
+
+    async def receive(self) -> None:
+        """Read the answer to its end."""
+        try:
+            await self.connection.read_response(self.reader)
+        except StreamClosedError:
+            self.reader.break_off()
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body of the answer.
+
+        Raises
+        ------
+        AnswerCutError
+            If it breaks off.
+        """
+        while (chunk := await self.reader.pipe.get()) is not None:
+            yield chunk
+
+    def close(self) -> None:
+        """Close the connection; an unfinished request is so cancelled."""
+        for task in self.tasks:
+            task.cancel()
+        self.stream.close()
+
+
+async def open_exchange(
+    address: Address, source: str | None, deadline: float
+) -> Exchange:
+    """Connect to a target, or to the gateway of a mate.
+
+    Raises
+    ------
+    NotRunError
+        If no connection comes about; nothing was sent then.
+    """
+    plain = socket(AF_INET, SOCK_STREAM)
+    stream = IOStream(
+        plain,
+        max_buffer_size=2 * MAX_HEADER_READ_BYTES,
+        read_chunk_size=CHUNK_BYTES,
+    )
+    try:
+        watch_silence(plain)
+        if source is not None:
+            plain.bind((source, 0))
+        async with timeout_at(deadline), timeout(CONNECT_SECONDS):
+            await stream.connect(address)
+    except TimeoutError as error:
+        stream.close()
+        raise NotRunError(f"{address}: connecting took too long") from error
+    except (StreamClosedError, OSError) as error:
+        stream.close()
+        raise NotRunError(f"{address}: no connection") from error
+    except BaseException:
+        stream.close()
+        raise
+    return Exchange(stream)
+
+
+def watch_silence(plain: socket) -> None:
+    """Let the kernel probe the connection, to find out if it went silent."""
+    dead_after_seconds = (
+        KEEPALIVE_IDLE_SECONDS + KEEPALIVE_INTERVAL_SECONDS * KEEPALIVE_PROBES
+    )
+    plain.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    plain.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    plain.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+    plain.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
+    plain.setsockopt(
+        IPPROTO_TCP, TCP_USER_TIMEOUT, dead_after_seconds * MILLISECONDS
+    )
--- a/chicorycart/requests/gateway.py
+++ b/chicorycart/requests/gateway.py
@@ -1,77 +1,461 @@
-"""The request gateway: an HTTP server that runs requests on one target."""
+"""The request gateway: decides where each request of a service runs."""
 
-from tornado.httpclient import AsyncHTTPClient
-from tornado.httpclient import HTTPClientError
-from tornado.httpclient import HTTPRequest
-from tornado.httpserver import HTTPServer
-from tornado.iostream import StreamClosedError
-from tornado.web import Application
-from tornado.web import RequestHandler
+from asyncio import Event
+from asyncio import get_running_loop
+from collections.abc import Callable
+from random import Random
+
+from logbook import Logger
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import RequestStartLine
 
 from chicorycart.address import Address
+from chicorycart.clock import Clock
+from chicorycart.configuration.model import Configuration
+from chicorycart.configuration.model import Target
+from chicorycart.defaults import MAX_ATTEMPTS
+from chicorycart.defaults import MAX_DEADLINE_SECONDS
 from chicorycart.defaults import MAX_REQUEST_BODY_BYTES
+from chicorycart.defaults import MAX_REQUEST_HEADER_BYTES
+from chicorycart.defaults import STREAM_AFTER_SECONDS
+from chicorycart.defaults import TARGET_DOWN_SECONDS
+from chicorycart.membership.sources import KnownSources
+from chicorycart.placement.load import Load
+from chicorycart.requests.body import RequestBody
+from chicorycart.requests.budget import RetryBudget
+from chicorycart.requests.caller import Caller
+from chicorycart.requests.errors import AnswerCutError
+from chicorycart.requests.errors import BadRequestError
+from chicorycart.requests.errors import CallerLeftError
+from chicorycart.requests.errors import NotRunError
+from chicorycart.requests.errors import OutcomeUnknownError
+from chicorycart.requests.errors import RefusedError
+from chicorycart.requests.errors import RequestError
+from chicorycart.requests.errors import TargetLeavingError
+from chicorycart.requests.exchange import AnswerHead
+from chicorycart.requests.exchange import Exchange
+from chicorycart.requests.exchange import open_exchange
+from chicorycart.requests.headers import copy_headers
+from chicorycart.requests.headers import DEADLINE
+from chicorycart.requests.headers import HOPS
+from chicorycart.requests.headers import OUTCOME
+from chicorycart.requests.headers import OUTCOME_NOT_RUN
+from chicorycart.requests.headers import OUTCOME_UNKNOWN
+from chicorycart.requests.headers import read_number
+from chicorycart.requests.headers import REQUEST_ID
+from chicorycart.requests.headers import size_of
+from chicorycart.requests.headers import TIMEOUT_MS
+from chicorycart.requests.mates import Mates
+from chicorycart.requests.message import MILLISECONDS
+from chicorycart.requests.message import Request
+from chicorycart.requests.refusals import build_refusal
+from chicorycart.requests.refusals import UNAVAILABLE
+from chicorycart.requests.seen import SeenRequests
+from chicorycart.requests.slots import Slot
+from chicorycart.requests.slots import Slots
+
+LOGGER = Logger("decision")
+IDENTIFIER_BITS = 128
+SAMPLE_RANGE = 1 << IDENTIFIER_BITS
+LENGTH_REQUIRED = 411
+CONTENT_TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+CHUNKED_METHODS = ("POST", "PUT", "PATCH")
+
 
-BAD_GATEWAY = 502
-HOP_HEADERS = frozenset(
-    {"connection", "transfer-encoding", "content-length", "keep-alive"}
-)
+class Gateway:
+    """Runs callers' requests on the own target, or through a mate's agent.
 
+    Parameters
+    ----------
+    address : Address
+        Where this gateway listens; forwarded requests come from its host.
+    backend : Address
+        Where the target listens.
+    slots : Slots
+        Bound and queue of the requests at the target.
+    mates : Mates
+        The own target as configured, and the others of the service.
+    budget : RetryBudget
+        Bounds what is sent to a second place.
+    seen : SeenRequests
+        Forwarded requests taken before.
+    sources : KnownSources
+        Instances whose forwarded requests are believed.
+    clock : Clock
+        Gives the time that deadlines are in; that of the event loop.
+    wall_clock : callable
+        Returns the time in seconds since the epoch.
+    random : Random
+        Makes identifiers and spreads refused callers.
+    deadline_seconds : float
+        Time to answer when the caller does not ask for less.
+    log_share : float
+        Share of requests whose decisions are logged.
+    registry : CollectorRegistry
+        Where the counters are registered.
 
-class GatewayHandler(RequestHandler):
-    """Runs each request on the target and streams back the answer."""
+    Attributes
+    ----------
+    is_stopping : bool
+        Whether the agent stops; new work goes to mates then.
+    in_progress : int
+        Requests that have not been answered in full.
+    is_idle : Event
+        Set while there is none.
+    last_request : float
+        When the last request ended.
+    down_until : float
+        Until when the target counts as down, since it refused a connection.
+    """
+
+    __slots__ = (
+        "address",
+        "backend",
+        "slots",
+        "mates",
+        "budget",
+        "seen",
+        "sources",
+        "clock",
+        "wall_clock",
+        "random",
+        "deadline_seconds",
+        "log_limit",
+        "requests",
+        "resends",
+        "is_stopping",
+        "in_progress",
+        "is_idle",
+        "last_request",
+        "down_until",
+    )
 
-    def initialize(self, backend: Address) -> None:
-        """Take the address of the target."""
+    def __init__(
+        self,
+        address: Address,
+        backend: Address,
+        slots: Slots,
+        mates: Mates,
+        budget: RetryBudget,
+        seen: SeenRequests,
+        sources: KnownSources,
+        clock: Clock,
+        wall_clock: Callable[[], float],
+        random: Random,
+        deadline_seconds: float,
+        log_share: float,
+        registry: CollectorRegistry,
+    ):
+        self.address = address
         self.backend = backend
+        self.slots = slots
+        self.mates = mates
+        self.budget = budget
+        self.seen = seen
+        self.sources = sources
+        self.clock = clock
+        self.wall_clock = wall_clock
+        self.random = random
+        self.deadline_seconds = deadline_seconds
+        self.log_limit = int(log_share * SAMPLE_RANGE)
+        self.requests = Counter(
+            "chicorycart_requests",
+            "Requests, by what their callers were told.",
+            ["outcome"],
+            registry=registry,
+        )
+        self.resends = Counter(
+            "chicorycart_request_resends",
+            "Requests sent to another place than the own target.",
+            registry=registry,
+        )
+        self.is_stopping = False
+        self.in_progress = 0
+        self.is_idle = Event()
+        self.is_idle.set()
+        self.last_request = 0.0
+        self.down_until = 0.0
+
+    def change_configuration(self, configuration: Configuration) -> None:
+        """Take the number of slots from the version now in force."""
+        own = self.mates.own
+        if own is not None:
+            self.slots.set_limit(own.slots)
 
-    async def prepare(self) -> None:
-        """Run the request whatever its method."""
-        request = HTTPRequest(
-            f"http://{self.backend}{self.request.uri}",
-            method=self.request.method,
-            headers=self.request.headers,
-            body=self.request.body or None,
-            allow_nonstandard_methods=True,
-            follow_redirects=False,
-            decompress_response=False,
-            request_timeout=0,
-            header_callback=self.take_header,
-            streaming_callback=self.take_chunk,
+    @property
+    def takes_new_work(self) -> bool:
+        """Whether opening flows may be placed here."""
+        is_down = self.clock.now() < self.down_until
+        return not (self.is_stopping or self.mates.is_leaving or is_down)
+
+    def current_load(self) -> Load:
+        """Return the load of the own target at this moment."""
+        return Load(
+            self.slots.in_progress,
+            len(self.slots.waiting),
+            self.slots.rate,
+            self.takes_new_work,
         )
-        self.clear()
+
+    async def serve(
+        self, line: RequestStartLine, headers: HTTPHeaders, caller: Caller
+    ) -> None:
+        """Answer one request, whatever happens to it."""
+        self.in_progress += 1
+        self.is_idle.clear()
+        identifier = f"{self.random.getrandbits(IDENTIFIER_BITS):032x}"
         try:
-            await AsyncHTTPClient().fetch(request, raise_error=False)
-        except (HTTPClientError, OSError):
-            self.set_status(BAD_GATEWAY)
-        if not self._finished:
-            await self.finish()
-
-    def take_header(self, line: str) -> None:
-        """Take one header line of the target's answer."""
-        if line.startswith("HTTP/"):
-            self.set_status(int(line.split()[1]))
+            request = self.build_request(line, headers, caller, identifier)
+            await self.answer(request, caller)
+        except AnswerCutError as error:
+            self.tell(identifier, "cut", str(error))
+            caller.cut()
+        except CallerLeftError as error:
+            self.tell(identifier, "caller left", str(error))
+            caller.cut()
+        except RequestError as error:
+            await self.refuse(identifier, error, caller)
+        finally:
+            self.in_progress -= 1
+            self.last_request = self.clock.now()
+            if not self.in_progress:
+                self.is_idle.set()
+
+    def build_request(
+        self,
+        line: RequestStartLine,
+        headers: HTTPHeaders,
+        caller: Caller,
+        identifier: str,
+    ) -> Request:
+        """Check a request and find its deadline.
+
+        Fields that only mates send are believed from known instances; from
+        anybody else they mean nothing.
+        """
+        if size_of(headers) + len(line.path) > MAX_REQUEST_HEADER_BYTES:
+            raise BadRequestError(HEADERS_TOO_LARGE, "the head is too large")
+        length = read_number(headers, "Content-Length") or 0
+        if length > MAX_REQUEST_BODY_BYTES:
+            raise BadRequestError(CONTENT_TOO_LARGE, "the body is too large")
+        is_forwarded = HOPS in headers and self.sources.is_known(caller.host)
+        wall = self.wall_clock()
+        wall_deadline = wall + self.choose_seconds(headers)
+        if is_forwarded:
+            identifier = headers.get(REQUEST_ID, "")
+            deadline_ms = read_number(headers, DEADLINE) or 0
+            wall_deadline = deadline_ms / MILLISECONDS
+            self.seen.admit(identifier, wall_deadline)
+        return Request(
+            line,
+            headers,
+            RequestBody(caller.pipe),
+            identifier,
+            self.clock.now() + wall_deadline - wall,
+            wall_deadline,
+            is_forwarded,
+        )
+
+    def choose_seconds(self, headers: HTTPHeaders) -> float:
+        """Return how long the caller waits for an answer to begin."""
+        asked = read_number(headers, TIMEOUT_MS)
+        if asked is None:
+            return self.deadline_seconds
+        return min(asked / MILLISECONDS, MAX_DEADLINE_SECONDS)
+
+    async def answer(self, request: Request, caller: Caller) -> None:
+        """Run a request where there is room for it."""
+        if request.is_forwarded:
+            self.check_room()
+        else:
+            self.budget.earn()
+        await request.body.prefetch()
+        self.check_framing(request)
+        try:
+            await self.run_here(request, caller)
+        except (NotRunError, OutcomeUnknownError) as error:
+            self.decide(request, "not here", str(error))
+            await self.run_elsewhere(request, caller, error)
+
+    def check_room(self) -> None:
+        """Refuse a forwarded request that would have to wait."""
+        if not self.takes_new_work or not self.slots.has_room:
+            raise RefusedError("no room for a forwarded request")
+
+    def check_framing(self, request: Request) -> None:
+        """Refuse a large body whose length the target could not see."""
+        if request.body.is_whole or "Content-Length" in request.headers:
             return
-        name, separator, value = line.partition(":")
-        if separator and name.lower() not in HOP_HEADERS:
-            self.set_header(name, value.strip())
+        if request.line.method not in CHUNKED_METHODS:
+            raise BadRequestError(LENGTH_REQUIRED, "the body has no length")
+
+    async def run_here(self, request: Request, caller: Caller) -> None:
+        """Run a request on the own target."""
+        if not self.takes_new_work and self.mates.list_active():
+            raise TargetLeavingError("this target takes no new work")
+        if request.is_forwarded:
+            self.check_room()
+        slot = await self.slots.acquire(request.deadline)
+        is_measured = False
+        try:
+            await self.run_on_target(request, caller, slot)
+            is_measured = True
+        except OutcomeUnknownError:
+            is_measured = True
+            raise
+        finally:
+            slot.release(is_measured)
 
-    async def take_chunk(self, chunk: bytes) -> None:
-        """Send one part of the answer on, as fast as the caller reads."""
-        self.write(chunk)
+    async def run_on_target(
+        self, request: Request, caller: Caller, slot: Slot
+    ) -> None:
+        """Send a request to the own target."""
         try:
-            await self.flush()
-        except StreamClosedError:
-            self._finished = True
+            exchange = await open_exchange(
+                self.backend, None, request.deadline
+            )
+        except NotRunError:
+            self.down_until = self.clock.now() + TARGET_DOWN_SECONDS
+            raise
+        self.down_until = 0.0
+        self.decide(request, "target", "slot free")
+        await self.run_on(exchange, request, caller, slot)
 
+    async def run_elsewhere(
+        self, request: Request, caller: Caller, error: RequestError
+    ) -> None:
+        """Run a request through the agents of mates, within the budget."""
+        for mate in self.mates.rank()[: MAX_ATTEMPTS - 1]:
+            if not self.may_resend(request, error):
+                break
+            self.resends.inc()
+            self.decide(request, mate.name, str(error))
+            try:
+                await self.run_on_mate(request, caller, mate)
+                return
+            except (NotRunError, OutcomeUnknownError) as failure:
+                self.mates.avoid(mate)
+                error = failure
+        raise error
 
-def serve_requests(address: Address, backend: Address) -> HTTPServer:
-    """Listen for the callers' requests."""
-    application = Application(
-        [(".*", GatewayHandler, {"backend": backend})],
-        log_function=lambda handler: None,
-    )
-    return application.listen(
-        address.port,
-        address.host,
-        max_body_size=MAX_REQUEST_BODY_BYTES,
-    )
+    def may_resend(self, request: Request, error: RequestError) -> bool:
+        """Tell whether a request may be tried at another place.
+
+        A request that a leaving target's gateway never sent anywhere does
+        not draw on the budget: it reaches one target only, and there are
+        no more such requests than open connections.
+        """
+        is_safe = isinstance(error, NotRunError) or request.is_idempotent
+        if not is_safe or request.is_forwarded or not request.body.can_replay:
+            return False
+        if isinstance(error, BadRequestError):
+            return False
+        if self.clock.now() >= request.deadline:
+            return False
+        return isinstance(error, TargetLeavingError) or self.budget.spend()
+
+    async def run_on_mate(
+        self, request: Request, caller: Caller, mate: Target
+    ) -> None:
+        """Send a request to the gateway of a mate."""
+        exchange = await open_exchange(
+            mate.gateway, self.address.host, request.deadline
+        )
+        await self.run_on(exchange, request, caller, None)
+
+    async def run_on(
+        self,
+        exchange: Exchange,
+        request: Request,
+        caller: Caller,
+        slot: Slot | None,
+    ) -> None:
+        """Send a request over a connection and its answer to the caller."""
+        headers = request.onward_headers(self.clock.now(), slot is None)
+        try:
+            head = await exchange.run(
+                request.line, headers, request.body, request.deadline
+            )
+            if is_not_run(head):
+                raise NotRunError("the target did not take the request")
+            await self.pass_answer(head, exchange, caller, slot)
+        finally:
+            exchange.close()
+        self.tell(request.identifier, "answered", str(head.line.code))
+
+    async def pass_answer(
+        self,
+        head: AnswerHead,
+        exchange: Exchange,
+        caller: Caller,
+        slot: Slot | None,
+    ) -> None:
+        """Stream an answer to the caller; a long one frees its slot."""
+        headers = copy_headers(head.headers)
+        if headers.get(OUTCOME) != OUTCOME_UNKNOWN:
+            headers.pop(OUTCOME, None)
+        timer = None
+        if slot is not None:
+            timer = get_running_loop().call_later(
+                STREAM_AFTER_SECONDS, slot.become_stream
+            )
+        try:
+            await caller.begin(
+                head.line.code,
+                head.line.reason,
+                headers,
+                not self.takes_new_work,
+            )
+            async for chunk in exchange.chunks():
+                await caller.write(chunk)
+        finally:
+            if timer is not None:
+                timer.cancel()
+        if slot is not None:
+            slot.release()
+        await caller.end()
+
+    async def refuse(
+        self, identifier: str, error: RequestError, caller: Caller
+    ) -> None:
+        """Give the caller its final answer at once."""
+        refusal = build_refusal(error, self.slots.backlog_seconds, self.random)
+        self.tell(identifier, refusal.headers[OUTCOME], str(error))
+        is_closing = not self.takes_new_work or not caller.read_whole.is_set()
+        await caller.begin(
+            refusal.status, refusal.reason, refusal.headers, is_closing
+        )
+        if caller.method != "HEAD":
+            await caller.write(refusal.body)
+        await caller.end()
+
+    def tell(self, identifier: str, outcome: str, reason: str) -> None:
+        """Count and log what became of a request."""
+        self.requests.labels(outcome).inc()
+        LOGGER.debug(
+            "event=request id={} outcome={} reason={}",
+            identifier,
+            outcome,
+            reason,
+        )
+
+    def decide(self, request: Request, choice: str, reason: str) -> None:
+        """Log where a request goes, and why."""
+        digits = request.identifier
+        if not digits or int(digits, 16) >= self.log_limit:
+            return
+        LOGGER.info(
+            "event=decision request={} choice={} reason={}",
+            request.identifier,
+            choice,
+            reason,
+        )
+
+
+def is_not_run(head: AnswerHead) -> bool:
+    """Tell whether an answer says that the request was not run."""
+    outcome = head.headers.get(OUTCOME)
+    return head.line.code == UNAVAILABLE and outcome == OUTCOME_NOT_RUN
--- /dev/null
+++ b/chicorycart/requests/rate.py
@@ -0,0 +1,29 @@
+"""Measures how fast the target gets its work done."""
+
+from chicorycart.defaults import SERVICE_TIME_SHARE
+
+
+class ServiceTime:
+    """A moving average of the time that a request holds its slot.
+
+    Parameters
+    ----------
+    start_seconds : float
+        Taken as the average until the first request is measured.
+    """
+
+    __slots__ = ("mean_seconds", "samples")
+
+    def __init__(self, start_seconds: float):
+        self.mean_seconds = start_seconds
+        self.samples = 0
+
+    def observe(self, seconds: float) -> None:
+        """Take the time of one request into the average."""
+        self.samples += 1
+        share = max(SERVICE_TIME_SHARE, 1 / self.samples)
+        self.mean_seconds += (seconds - self.mean_seconds) * share
+
+    def rate(self, slots: int) -> float:
+        """Return requests a second when every slot is in use."""
+        return slots / max(self.mean_seconds, 1e-4)
--- /dev/null
+++ b/chicorycart/requests/refusals.py
@@ -0,0 +1,83 @@
+"""Tells callers why they get no answer of a target."""
+
+from math import ceil
+from random import Random
+
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import responses
+
+from chicorycart.defaults import MAX_RETRY_AFTER_SECONDS
+from chicorycart.requests.errors import BadRequestError
+from chicorycart.requests.errors import OutcomeUnknownError
+from chicorycart.requests.errors import RequestError
+from chicorycart.requests.headers import OUTCOME
+from chicorycart.requests.headers import OUTCOME_NOT_RUN
+from chicorycart.requests.headers import OUTCOME_UNKNOWN
+
+UNAVAILABLE = 503
+MIN_RETRY_AFTER_SECONDS = 1.0
+SPREAD = 3.0
+
+
+class Refusal:
+    """The final answer to a request that no target answered.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : HTTPHeaders
+        Fields, with the outcome and when to come back.
+    body : bytes
+        The same as a line of text.
+    """
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status: int, outcome: str, text: str):
+        self.status = status
+        self.body = f"{outcome}: {text}\n".encode()
+        self.headers = HTTPHeaders(
+            {
+                OUTCOME: outcome,
+                "Content-Type": "text/plain; charset=utf-8",
+                "Content-Length": str(len(self.body)),
+            }
+        )
+
+    @property
+    def reason(self) -> str:
+        """The standard phrase of the status."""
+        return responses.get(self.status, "Unknown")
+
+
+def build_refusal(
+    error: RequestError, backlog_seconds: float, random: Random
+) -> Refusal:
+    """Choose the answer for an error.
+
+    Parameters
+    ----------
+    error : RequestError
+        Why there is no other answer.
+    backlog_seconds : float
+        Time that the work at hand takes by the measured rate.
+    random : Random
+        Spreads the times at which refused callers return.
+    """
+    if isinstance(error, OutcomeUnknownError):
+        return Refusal(error.status, OUTCOME_UNKNOWN, str(error))
+    if isinstance(error, BadRequestError):
+        return Refusal(error.status, OUTCOME_NOT_RUN, str(error))
+    seconds = choose_retry_after(backlog_seconds, random)
+    text = f"{error}; come back in {seconds} s"
+    refusal = Refusal(UNAVAILABLE, OUTCOME_NOT_RUN, text)
+    refusal.headers["Retry-After"] = str(seconds)
+    return refusal
+
+
+def choose_retry_after(backlog_seconds: float, random: Random) -> int:
+    """Return whole seconds, spread so that callers do not return at once."""
+    least = max(MIN_RETRY_AFTER_SECONDS, backlog_seconds)
+    spread = least * random.uniform(1.0, SPREAD)
+    return ceil(min(spread, MAX_RETRY_AFTER_SECONDS))
--- /dev/null
+++ b/chicorycart/requests/server.py
@@ -0,0 +1,83 @@
+"""Listens for callers and stops without cutting off a request."""
+
+from asyncio import sleep
+from asyncio import timeout
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerConnectionDelegate
+
+from chicorycart.address import Address
+from chicorycart.defaults import CALLER_IDLE_SECONDS
+from chicorycart.defaults import CHUNK_BYTES
+from chicorycart.defaults import MAX_HEADER_READ_BYTES
+from chicorycart.defaults import STOP_IDLE_SECONDS
+from chicorycart.requests.caller import Caller
+from chicorycart.requests.gateway import Gateway
+
+UNBOUNDED_BYTES = 1 << 50
+
+
+class RequestServer(HTTPServerConnectionDelegate):
+    """The listener of a gateway.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        Answers the requests.
+    """
+
+    def __init__(self, gateway: Gateway):
+        self.gateway = gateway
+        self.server = HTTPServer(
+            self,
+            chunk_size=CHUNK_BYTES,
+            max_header_size=MAX_HEADER_READ_BYTES,
+            max_body_size=UNBOUNDED_BYTES,
+            max_buffer_size=2 * MAX_HEADER_READ_BYTES,
+            idle_connection_timeout=CALLER_IDLE_SECONDS,
+        )
+
+    def listen(self, address: Address) -> None:
+        """Begin to take connections."""
+        self.server.listen(address.port, address.host)
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTP1Connection
+    ) -> Caller:
+        """Take the next request of a connection."""
+        return Caller(request_conn, self.gateway)
+
+    def on_close(self, server_conn: object) -> None:
+        """Do nothing; each request hears of it itself."""
+
+    async def stop(self, seconds: float | None) -> None:
+        """Let every request in progress end, then close.
+
+        Parameters
+        ----------
+        seconds : float or None
+            Bound that the operator set; None waits for as long as it takes.
+        """
+        self.gateway.is_stopping = True
+        self.gateway.last_request = self.gateway.clock.now()
+        try:
+            async with timeout(seconds):
+                await self.wait_quiet()
+        except TimeoutError:
+            pass
+        await self.close()
+
+    async def wait_quiet(self) -> None:
+        """Wait until nothing is in progress, nor has been for a while."""
+        while True:
+            await self.gateway.is_idle.wait()
+            quiet = self.gateway.clock.now() - self.gateway.last_request
+            if quiet >= STOP_IDLE_SECONDS:
+                return
+            await sleep(STOP_IDLE_SECONDS - quiet)
+
+    async def close(self) -> None:
+        """Stop listening and close every connection."""
+        self.server.stop()
+        await self.server.close_all_connections()
--- a/chicorycart/settings/load.py
+++ b/chicorycart/settings/load.py
@@ -9,6 +9,7 @@
 from chicorycart.address import Address
 from chicorycart.address import AddressError
 from chicorycart.address import parse_address
+from chicorycart.defaults import REQUEST_DEADLINE_SECONDS
 from chicorycart.schema import find_faults
 from chicorycart.schema import load_validator
 from chicorycart.settings.errors import SettingsError
@@ -59,6 +60,8 @@
         parse_address(value["decapsulation"]),
         parse_address(value["backend"]),
         parse_optional(value.get("gateway")),
+        value.get("deadline_seconds", REQUEST_DEADLINE_SECONDS),
+        value.get("stop_seconds"),
     )
 
 
--- a/chicorycart/settings/model.py
+++ b/chicorycart/settings/model.py
@@ -2,6 +2,7 @@
 
 from chicorycart.address import Address
 from chicorycart.defaults import LOG_SAMPLE
+from chicorycart.defaults import REQUEST_DEADLINE_SECONDS
 
 DEFAULT_LOG_LEVEL = "info"
 
@@ -109,6 +110,10 @@
         Where the target itself listens.
     gateway : Address or None
         Where the request gateway listens; needed for kind http.
+    deadline_seconds : float
+        Time until an answer must begin, unless a caller asks for less.
+    stop_seconds : float or None
+        Longest time that a stop waits for requests; None sets no bound.
     """
 
     __slots__ = (
@@ -118,6 +123,8 @@
         "decapsulation",
         "backend",
         "gateway",
+        "deadline_seconds",
+        "stop_seconds",
     )
 
     def __init__(
@@ -128,6 +135,8 @@
         decapsulation: Address,
         backend: Address,
         gateway: Address | None,
+        deadline_seconds: float = REQUEST_DEADLINE_SECONDS,
+        stop_seconds: float | None = None,
     ):
         self.daemon = daemon
         self.service = service
@@ -135,3 +144,5 @@
         self.decapsulation = decapsulation
         self.backend = backend
         self.gateway = gateway
+        self.deadline_seconds = deadline_seconds
+        self.stop_seconds = stop_seconds
--- a/tests/standins/layout.py
+++ b/tests/standins/layout.py
@@ -93,6 +93,10 @@
         """Return the failure domain of the n-th host, from 0."""
         return f"{self.region}-{'abc'[member % 3]}"
 
+    def publish_gateway(self, host: HostPlan) -> dict[str, str]:
+        """Return where mates forward requests to; packets have none."""
+        return {"gateway": str(host.gateway)} if self.kind == "http" else {}
+
     def publish(self) -> dict[str, Any]:
         """Return the service as the platform publishes it."""
         return {
@@ -102,6 +106,7 @@
                 {
                     "name": self.target_name(member),
                     "agent": str(host.data),
+                    **self.publish_gateway(host),
                     "domain": self.domain(member),
                     "weight": self.weights[member],
                     "slots": self.slots,
