Keep flows with their owner after their bucket moved away

Cause: after replaced versions left the chains, a packet of an open flow whose target drained found no owner and was reset. Owners now send leased records of the buckets of displaced flows; opening packets ask for claims wherever another agent may have accepted them.

--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -3,22 +3,21 @@
 from asyncio import create_task
 from asyncio import Event
 from random import Random
+from time import time_ns
 from typing import Any
 
 from prometheus_client import CollectorRegistry
 
+from chicorycart.address import pack_address
 from chicorycart.agent.acceptance import TargetAcceptance
-from chicorycart.agent.delivery import Delivery
 from chicorycart.agent.host import DecapsulatingHost
+from chicorycart.agent.ownership import FlowOwnership
 from chicorycart.clock import LoopClock
 from chicorycart.configuration.follow import follow_platform
-from chicorycart.configuration.model import hash_name
 from chicorycart.configuration.platform import PlatformClient
 from chicorycart.configuration.store import ConfigurationStore
-from chicorycart.flows.openings import OpeningMemory
-from chicorycart.flows.table import FlowTable
+from chicorycart.flows.mates import ServiceMates
 from chicorycart.links.datagrams import DatagramLink
-from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.sockets import DatagramSocket
 from chicorycart.membership.sources import follow_instances
 from chicorycart.membership.sources import KnownSources
@@ -47,18 +46,21 @@
         self.store.subscribe(self.sources)
         self.data_socket = DatagramSocket(daemon.data)
         self.link = DatagramLink(self.data_socket, self.sources, self.registry)
-        self.table = FlowTable(clock)
-        self.delivery = Delivery(
-            hash_name(settings.service),
+        self.ownership = FlowOwnership(
+            ServiceMates(
+                self.store, settings.service, pack_address(daemon.data), clock
+            ),
             DecapsulatingHost(self.data_socket, settings.decapsulation),
-            self.table,
-            OpeningMemory(clock),
             TargetAcceptance(self.store, settings.service, settings.target),
             self.link,
+            time_ns(),
+            clock,
+            Random(),
             DecisionLog(daemon.log.decision_sample),
             self.registry,
         )
-        self.link.register(MessageKind.FORWARD, self.delivery)
+        for kind, receiver in self.ownership.list_receivers().items():
+            self.link.register(kind, receiver)
         self.platform = PlatformClient(daemon.platform)
         self.stopping = False
 
@@ -75,7 +77,7 @@
             "target": self.settings.target,
             "ready": self.is_ready(),
             "version": self.store.current.version,
-            "flows": len(self.table),
+            "flows": len(self.ownership.table),
         }
 
     async def run(self, stop: Event) -> None:
@@ -89,6 +91,7 @@
         tasks = [
             create_task(follow_platform(self.platform, self.store, Random())),
             create_task(follow_instances(self.platform, self.sources)),
+            create_task(self.ownership.run()),
         ]
         self.data_socket.start(self.link)
         await stop.wait()
--- /dev/null
+++ b/chicorycart/agent/opening.py
@@ -0,0 +1,222 @@
+"""Places opening flows so that all their repeats end at one agent."""
+
+from typing import Protocol
+
+from chicorycart.agent.output import PacketOutput
+from chicorycart.flows.claims import Claims
+from chicorycart.flows.mates import ServiceMates
+from chicorycart.flows.openings import OpeningMemory
+from chicorycart.flows.records import OwnerRecords
+from chicorycart.flows.settling import Settling
+from chicorycart.packets.forward import Forward
+from chicorycart.packets.ipv4 import hash_flow
+from chicorycart.packets.ipv4 import Packet
+from chicorycart.placement.chain import bucket_of
+
+
+class Acceptance(Protocol):
+    """Decides whether this agent takes an opening flow."""
+
+    def accepts(self, forward: Forward) -> bool:
+        """Tell whether to keep the flow rather than pass it on."""
+
+
+class WaitingOpening:
+    """An opening packet that waits until the other agents have answered.
+
+    Parameters
+    ----------
+    placement : OpeningPlacement
+        Goes on with the packet.
+    forward : Forward
+        The message that brought it.
+    packet : Packet
+        The packet in it.
+    """
+
+    __slots__ = ("placement", "forward", "packet")
+
+    def __init__(
+        self, placement: "OpeningPlacement", forward: Forward, packet: Packet
+    ):
+        self.placement = placement
+        self.forward = forward
+        self.packet = packet
+
+    def take_claim(self, owner: int) -> None:
+        """Send the packet to the owner of its flow."""
+        self.placement.place_at(self.forward, self.packet, owner, "claimed")
+
+    def take_no_claim(self) -> None:
+        """Decide on the packet here."""
+        self.placement.decide(self.forward, self.packet)
+
+    def give_up(self) -> None:
+        """Drop the packet; its repeat asks again."""
+        self.placement.output.drop(self.forward, self.packet, "asked too long")
+
+
+class OpeningPlacement:
+    """Places opening flows at one agent.
+
+    Parameters
+    ----------
+    output : PacketOutput
+        Sends the packets.
+    mates : ServiceMates
+        The agents of the service.
+    records : OwnerRecords
+        Owners of displaced flows.
+    memory : OpeningMemory
+        Flows that were placed elsewhere.
+    claims : Claims
+        Asks the other agents.
+    settling : Settling
+        Tells whether this agent may rely on what it knows.
+    acceptance : Acceptance
+        Decides on flows that nobody owns.
+    """
+
+    __slots__ = (
+        "output",
+        "mates",
+        "records",
+        "memory",
+        "claims",
+        "settling",
+        "acceptance",
+    )
+
+    def __init__(
+        self,
+        output: PacketOutput,
+        mates: ServiceMates,
+        records: OwnerRecords,
+        memory: OpeningMemory,
+        claims: Claims,
+        settling: Settling,
+        acceptance: Acceptance,
+    ):
+        self.output = output
+        self.mates = mates
+        self.records = records
+        self.memory = memory
+        self.claims = claims
+        self.settling = settling
+        self.acceptance = acceptance
+
+    def place(self, forward: Forward, packet: Packet) -> None:
+        """Place a packet whose flow this agent does not own."""
+        placed_at = self.memory.recall(packet.flow)
+        if self.claims.is_pending(packet.flow):
+            self.output.drop(forward, packet, "waits already")
+        elif placed_at is not None and self.can_take(placed_at):
+            self.place_at(forward, packet, placed_at, "placed before")
+        elif forward.placed:
+            self.take(forward, packet)
+        elif self.may_decide_alone(forward, packet):
+            self.decide(forward, packet)
+        else:
+            self.ask(forward, packet)
+
+    def can_take(self, agent: int) -> bool:
+        """Tell whether packets can be sent to the agent."""
+        return self.mates.is_known(agent) and not self.mates.is_suspected(
+            agent
+        )
+
+    def may_decide_alone(self, forward: Forward, packet: Packet) -> bool:
+        """Tell whether no other agent can have accepted the flow.
+
+        So it is for a TCP opening at the first agent of a chain on which
+        both daemons agree, when none of its agents were replaced and none
+        asked for this flow.
+        """
+        bucket = bucket_of(hash_flow(packet.flow))
+        chain = self.mates.chain(bucket)
+        return (
+            packet.is_opening
+            and chain[:1] == [self.mates.own]
+            and chain == forward.chain
+            and chain == self.mates.candidates(bucket)
+            and self.settling.is_settled()
+            and not self.memory.is_contended(packet.flow)
+            and not self.records.owners_of(bucket)
+        )
+
+    def ask(self, forward: Forward, packet: Packet) -> None:
+        """Let the packet wait until other agents said whether they own it."""
+        agents = self.list_possible_owners(forward, packet)
+        if not agents:
+            self.decide(forward, packet)
+        elif self.claims.is_full():
+            self.output.drop(forward, packet, "too many openings")
+        else:
+            waiting = WaitingOpening(self, forward, packet)
+            self.claims.ask(packet.flow, agents, waiting)
+            self.output.record(forward, packet, "wait", "asks for the owner")
+
+    def list_possible_owners(
+        self, forward: Forward, packet: Packet
+    ) -> list[int]:
+        """Return the other agents that may have accepted the flow."""
+        bucket = bucket_of(hash_flow(packet.flow))
+        agents = [*forward.chain, *self.mates.chain(bucket)]
+        agents += self.records.owners_of(bucket)
+        if not self.settling.is_settled():
+            agents += self.mates.list_others()
+        return [
+            agent
+            for agent in dict.fromkeys(agents)
+            if agent != self.mates.own and self.can_take(agent)
+        ]
+
+    def take(self, forward: Forward, packet: Packet) -> None:
+        """Take a flow that another agent placed here."""
+        if self.mates.is_active(self.mates.own):
+            self.accept(forward, packet, "placed here")
+        else:
+            self.decide(forward, packet)
+
+    def decide(self, forward: Forward, packet: Packet) -> None:
+        """Accept a flow that nobody owns, or place it elsewhere."""
+        bucket = bucket_of(hash_flow(packet.flow))
+        candidates = self.mates.candidates(bucket)
+        others = [
+            agent
+            for agent in candidates
+            if agent != self.mates.own and self.can_take(agent)
+        ]
+        if self.is_candidate(forward, candidates) and self.accepts(forward):
+            self.accept(forward, packet, "accepted")
+        elif others:
+            self.place_at(forward, packet, others[0], "not accepted")
+        else:
+            self.accept(forward, packet, "last of chain")
+
+    def is_candidate(self, forward: Forward, candidates: list[int]) -> bool:
+        """Tell whether flows of the bucket may be accepted here."""
+        if forward.version > self.mates.store.current.version:
+            return True
+        return self.mates.own in candidates
+
+    def accepts(self, forward: Forward) -> bool:
+        """Tell whether this agent wants the flow."""
+        if self.output.table.is_full():
+            return False
+        return self.acceptance.accepts(forward)
+
+    def accept(self, forward: Forward, packet: Packet, reason: str) -> None:
+        """Own the flow, if there is room for it."""
+        if self.output.table.is_full():
+            self.output.drop(forward, packet, "flow table full")
+        else:
+            self.output.keep(forward, packet, reason)
+
+    def place_at(
+        self, forward: Forward, packet: Packet, agent: int, reason: str
+    ) -> None:
+        """Send the packet to the agent that is to own its flow."""
+        self.memory.remember(packet.flow, agent)
+        forward.placed = True
+        self.output.send_to(forward, packet, agent, reason)
--- /dev/null
+++ b/chicorycart/agent/output.py
@@ -0,0 +1,133 @@
+"""Where an agent sends packets, with the log and the counters of it."""
+
+from typing import Protocol
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+
+from chicorycart.address import unpack_address
+from chicorycart.defaults import MAX_HOPS
+from chicorycart.flows.mates import ServiceMates
+from chicorycart.flows.table import FlowTable
+from chicorycart.links.datagrams import MessageKind
+from chicorycart.links.datagrams import Sender
+from chicorycart.operation.decisions import DecisionLog
+from chicorycart.packets.forward import encode_forward
+from chicorycart.packets.forward import Forward
+from chicorycart.packets.ipv4 import hash_flow
+from chicorycart.packets.ipv4 import Packet
+
+
+class Host(Protocol):
+    """The agent's own instance."""
+
+    def deliver(self, packet: bytes) -> None:
+        """Hand an IPv4 packet to the kernel of the instance."""
+
+
+class PacketOutput:
+    """Delivers, sends on or drops packets at one agent.
+
+    Parameters
+    ----------
+    host : Host
+        Where owned packets go.
+    table : FlowTable
+        Owned flows.
+    mates : ServiceMates
+        The only agents that packets are sent to.
+    sender : Sender
+        Sends to other agents.
+    decisions : DecisionLog
+        Logs where packets went.
+    registry : CollectorRegistry
+        Where the counters are registered.
+    """
+
+    __slots__ = ("host", "table", "mates", "sender", "decisions", "packets")
+
+    def __init__(
+        self,
+        host: Host,
+        table: FlowTable,
+        mates: ServiceMates,
+        sender: Sender,
+        decisions: DecisionLog,
+        registry: CollectorRegistry,
+    ):
+        self.host = host
+        self.table = table
+        self.mates = mates
+        self.sender = sender
+        self.decisions = decisions
+        self.packets = Counter(
+            "chicorycart_agent_packets",
+            "Forwarded packets, by what became of them.",
+            ["outcome"],
+            registry=registry,
+        )
+
+    def keep(self, forward: Forward, packet: Packet, reason: str) -> None:
+        """Own the flow and deliver its packet."""
+        self.table.touch(packet.flow, packet.is_closing, packet.is_opening)
+        self.deliver(forward, packet, reason)
+
+    def adopt(self, forward: Forward, packet: Packet) -> None:
+        """Own a flow that the host may know, and deliver its packet."""
+        self.table.adopt(packet.flow)
+        self.deliver(forward, packet, "adopted")
+
+    def deliver(self, forward: Forward, packet: Packet, reason: str) -> None:
+        """Deliver a packet to the own host."""
+        self.host.deliver(forward.packet)
+        self.count(reason)
+        self.record(forward, packet, "deliver", reason)
+
+    def reset(self, forward: Forward, packet: Packet) -> None:
+        """End a flow that nobody owns.
+
+        The kernel of the own host knows no such connection and resets the
+        caller's.
+        """
+        self.host.deliver(forward.packet)
+        self.count("no owner")
+        self.record(forward, packet, "reset", "no owner found")
+
+    def drop(self, forward: Forward, packet: Packet, reason: str) -> None:
+        """Drop a packet; the caller sends it again."""
+        self.count(reason)
+        self.record(forward, packet, "drop", reason)
+
+    def send_to(
+        self, forward: Forward, packet: Packet, agent: int, reason: str
+    ) -> None:
+        """Send the packet to a known agent, unless it has gone too far."""
+        if not self.mates.is_known(agent):
+            self.drop(forward, packet, "unknown agent")
+            return
+        if forward.hops >= MAX_HOPS:
+            self.drop(forward, packet, "too many hops")
+            return
+        forward.hops += 1
+        self.sender.send(
+            MessageKind.FORWARD, encode_forward(forward), unpack_address(agent)
+        )
+        self.count(reason)
+        self.record(forward, packet, f"{agent:x}", reason)
+
+    def count(self, outcome: str) -> None:
+        """Count what became of a packet."""
+        self.packets.labels(outcome).inc()
+
+    def record(
+        self, forward: Forward, packet: Packet, choice: str, reason: str
+    ) -> None:
+        """Log the decision on a packet."""
+        self.decisions.record(
+            packet.flow,
+            hash_flow(packet.flow),
+            forward.version,
+            forward.chain,
+            choice,
+            reason,
+        )
--- /dev/null
+++ b/chicorycart/agent/ownership.py
@@ -0,0 +1,144 @@
+"""Joins the parts that decide on the ownership of flows at one agent."""
+
+from asyncio import gather
+from asyncio import sleep
+from random import Random
+
+from prometheus_client import CollectorRegistry
+
+from chicorycart.agent.delivery import Delivery
+from chicorycart.agent.opening import Acceptance
+from chicorycart.agent.opening import OpeningPlacement
+from chicorycart.agent.output import Host
+from chicorycart.agent.output import PacketOutput
+from chicorycart.agent.search import OwnerSearch
+from chicorycart.clock import Clock
+from chicorycart.configuration.model import hash_name
+from chicorycart.defaults import FLOW_SWEEP_FLOWS
+from chicorycart.defaults import TICK_SECONDS
+from chicorycart.flows.announce import DisplacedBuckets
+from chicorycart.flows.announce import OwnerAnnouncer
+from chicorycart.flows.claims import Claims
+from chicorycart.flows.mates import ServiceMates
+from chicorycart.flows.openings import OpeningMemory
+from chicorycart.flows.receivers import AnswerReceiver
+from chicorycart.flows.receivers import QueryReceiver
+from chicorycart.flows.receivers import RecordReceiver
+from chicorycart.flows.records import OwnerRecords
+from chicorycart.flows.settling import Settling
+from chicorycart.flows.table import FlowTable
+from chicorycart.links.datagrams import MessageKind
+from chicorycart.links.datagrams import Receiver
+from chicorycart.links.datagrams import Sender
+from chicorycart.operation.decisions import DecisionLog
+
+
+class FlowOwnership:
+    """The flows of one agent and what it knows of those of its mates.
+
+    Parameters
+    ----------
+    mates : ServiceMates
+        The agents of the service.
+    host : Host
+        Where owned packets go.
+    acceptance : Acceptance
+        Decides on opening flows that nobody owns.
+    sender : Sender
+        Sends to other agents.
+    incarnation : int
+        Greater than that of any earlier process of this agent.
+    clock : Clock
+        Ages everything.
+    random : Random
+        Shuffles recorded owners.
+    decisions : DecisionLog
+        Logs where packets went.
+    registry : CollectorRegistry
+        Where the counters are registered.
+    """
+
+    __slots__ = (
+        "service",
+        "table",
+        "records",
+        "memory",
+        "settling",
+        "claims",
+        "announcer",
+        "openings",
+        "delivery",
+    )
+
+    def __init__(
+        self,
+        mates: ServiceMates,
+        host: Host,
+        acceptance: Acceptance,
+        sender: Sender,
+        incarnation: int,
+        clock: Clock,
+        random: Random,
+        decisions: DecisionLog,
+        registry: CollectorRegistry,
+    ):
+        service = hash_name(mates.name)
+        table = FlowTable(clock)
+        memory = OpeningMemory(clock)
+        records = OwnerRecords(clock)
+        settling = Settling(clock, mates)
+        output = PacketOutput(host, table, mates, sender, decisions, registry)
+        claims = Claims(service, mates, table, memory, clock, sender)
+        self.service = service
+        self.table = table
+        self.records = records
+        self.memory = memory
+        self.settling = settling
+        self.claims = claims
+        self.announcer = OwnerAnnouncer(
+            service,
+            mates,
+            DisplacedBuckets(table, mates),
+            incarnation,
+            sender,
+            clock,
+        )
+        self.openings = OpeningPlacement(
+            output, mates, records, memory, claims, settling, acceptance
+        )
+        self.delivery = Delivery(
+            service,
+            mates,
+            table,
+            output,
+            self.openings,
+            OwnerSearch(output, mates, records, settling, random),
+        )
+
+    def list_receivers(self) -> dict[MessageKind, Receiver]:
+        """Return what takes the messages of each kind."""
+        mates = self.delivery.mates
+        return {
+            MessageKind.FORWARD: self.delivery,
+            MessageKind.OWNER_RECORD: RecordReceiver(
+                self.service, mates, self.records
+            ),
+            MessageKind.OWNER_QUERY: QueryReceiver(
+                self.service, self.claims, self.announcer
+            ),
+            MessageKind.OWNER_ANSWER: AnswerReceiver(
+                self.service, self.claims
+            ),
+        }
+
+    async def run(self) -> None:
+        """Announce owned flows and forget old ones, until cancelled."""
+        await gather(self.announcer.run(), self.sweep())
+
+    async def sweep(self) -> None:
+        """Forget flows that were silent too long, some at a time."""
+        while True:
+            self.settling.tick()
+            looked_at = self.table.expire(FLOW_SWEEP_FLOWS)
+            is_behind = looked_at == FLOW_SWEEP_FLOWS
+            await sleep(0 if is_behind else TICK_SECONDS)
--- /dev/null
+++ b/chicorycart/agent/search.py
@@ -0,0 +1,136 @@
+"""Seeks the owner of a flow that is open but not this agent's."""
+
+from collections.abc import Iterable
+from random import Random
+
+from chicorycart.agent.output import PacketOutput
+from chicorycart.configuration.model import ServiceKind
+from chicorycart.defaults import MAX_SEARCH_LENGTH
+from chicorycart.flows.mates import ServiceMates
+from chicorycart.flows.records import OwnerRecords
+from chicorycart.flows.settling import Settling
+from chicorycart.packets.forward import Forward
+from chicorycart.packets.ipv4 import hash_flow
+from chicorycart.packets.ipv4 import Packet
+from chicorycart.placement.chain import bucket_of
+
+
+class OwnerSearch:
+    """Passes packets along the chain and to the recorded owners.
+
+    Parameters
+    ----------
+    output : PacketOutput
+        Sends the packets.
+    mates : ServiceMates
+        The agents of the service.
+    records : OwnerRecords
+        Owners of displaced flows.
+    settling : Settling
+        Tells how to end a search that found nobody.
+    random : Random
+        Shuffles the recorded owners, so that a dead one among them does
+        not stop every resend of a packet.
+    """
+
+    __slots__ = ("output", "mates", "records", "settling", "random")
+
+    def __init__(
+        self,
+        output: PacketOutput,
+        mates: ServiceMates,
+        records: OwnerRecords,
+        settling: Settling,
+        random: Random,
+    ):
+        self.output = output
+        self.mates = mates
+        self.records = records
+        self.settling = settling
+        self.random = random
+
+    def pass_on(self, forward: Forward, packet: Packet) -> None:
+        """Send the packet to the next agent that may own its flow."""
+        if forward.returned:
+            self.adopt(forward, packet)
+            return
+        if self.holds_forgotten_flows() and not forward.adopter:
+            forward.adopter = self.mates.own
+        bucket = bucket_of(hash_flow(packet.flow))
+        self.extend(forward, self.list_recorded(bucket))
+        if not self.has_next(forward):
+            self.extend(forward, self.mates.chain(bucket))
+        if not self.has_next(forward) and not self.settling.is_settled():
+            self.extend(forward, self.mates.list_others())
+        if self.has_next(forward):
+            forward.position = self.find_next(forward)
+            agent = forward.chain[forward.position]
+            self.output.send_to(forward, packet, agent, "not owner")
+        else:
+            self.end(forward, packet)
+
+    def end(self, forward: Forward, packet: Packet) -> None:
+        """Give up the search."""
+        if forward.adopter and forward.adopter != self.mates.own:
+            forward.returned = True
+            self.output.send_to(
+                forward, packet, forward.adopter, "for adoption"
+            )
+        elif forward.adopter:
+            self.adopt(forward, packet)
+        elif self.settling.is_settled():
+            self.output.reset(forward, packet)
+        else:
+            self.output.drop(forward, packet, "no owner yet")
+
+    def adopt(self, forward: Forward, packet: Packet) -> None:
+        """Take a flow that nobody owns, once owners had time to show."""
+        if not self.settling.is_settled():
+            self.output.drop(forward, packet, "no owner yet")
+        elif self.holds_forgotten_flows() and not self.output.table.is_full():
+            self.output.adopt(forward, packet)
+        else:
+            self.output.reset(forward, packet)
+
+    def holds_forgotten_flows(self) -> bool:
+        """Tell whether the host may hold connections from before a start.
+
+        The connections of kind http end with the gateway in this process.
+        """
+        service = self.mates.service
+        if service is not None and service.kind is not ServiceKind.PACKET:
+            return False
+        return self.settling.may_adopt()
+
+    def list_recorded(self, bucket: int) -> list[int]:
+        """Return the recorded owners of the bucket in random order."""
+        owners = self.records.owners_of(bucket)
+        self.random.shuffle(owners)
+        return owners
+
+    def extend(self, forward: Forward, agents: Iterable[int]) -> None:
+        """Add agents to the chain, each once and not this one."""
+        for agent in agents:
+            if len(forward.chain) >= MAX_SEARCH_LENGTH:
+                return
+            if agent != self.mates.own and agent not in forward.chain:
+                forward.chain.append(agent)
+
+    def has_next(self, forward: Forward) -> bool:
+        """Tell whether the chain goes on."""
+        return self.find_next(forward) < len(forward.chain)
+
+    def find_next(self, forward: Forward) -> int:
+        """Return the next position of an agent that is known.
+
+        Others are passed over: a chain that names them was forged, or is
+        newer than what this agent knows.
+        """
+        for position in range(forward.position + 1, len(forward.chain)):
+            agent = forward.chain[position]
+            if agent == self.mates.own:
+                continue
+            if self.mates.is_known(agent):
+                return position
+            self.output.count("unknown agent")
+        return len(forward.chain)
--- a/chicorycart/flows/openings.py
+++ b/chicorycart/flows/openings.py
@@ -8,17 +8,26 @@
 
 
 class Opening:
-    """Where an opening flow was sent, and until when this is remembered."""
+    """What is remembered of an opening flow, and until when.
+
+    Attributes
+    ----------
+    agent : int or None
+        Packed address of the agent it was placed at; None if another
+        agent only asked for its owner.
+    expiry : float
+        When this is forgotten.
+    """
 
     __slots__ = ("agent", "expiry")
 
-    def __init__(self, agent: int, expiry: float):
+    def __init__(self, agent: int | None, expiry: float):
         self.agent = agent
         self.expiry = expiry
 
 
 class OpeningMemory:
-    """Placements of opening flows that this agent passed on.
+    """Placements of opening flows that went to other agents.
 
     Parameters
     ----------
@@ -32,7 +41,7 @@
         self.clock = clock
         self.openings: OrderedDict[bytes, Opening] = OrderedDict()
 
-    def remember(self, flow: bytes, agent: int) -> None:
+    def remember(self, flow: bytes, agent: int | None) -> None:
         """Remember the agent (packed address) that the flow was sent to."""
         expiry = self.clock.now() + HANDSHAKE_SECONDS
         self.openings[flow] = Opening(agent, expiry)
@@ -40,9 +49,24 @@
         while len(self.openings) > MAX_OPENINGS:
             self.openings.popitem(last=False)
 
-    def recall(self, flow: bytes) -> int | None:
-        """Return the agent that the flow was sent to, if remembered."""
+    def find(self, flow: bytes) -> Opening | None:
+        """Return what is remembered of the flow."""
         opening = self.openings.get(flow)
         if opening is None or opening.expiry <= self.clock.now():
             return None
-        return opening.agent
+        return opening
+
+    def recall(self, flow: bytes) -> int | None:
+        """Return the agent that the flow was sent to, if remembered."""
+        opening = self.find(flow)
+        return opening.agent if opening else None
+
+    def note_query(self, flow: bytes) -> None:
+        """Remember that another agent may take the flow."""
+        if self.find(flow) is None:
+            self.remember(flow, None)
+
+    def is_contended(self, flow: bytes) -> bool:
+        """Tell whether another agent asked for the owner of the flow."""
+        opening = self.find(flow)
+        return opening is not None and opening.agent is None
--- /dev/null
+++ b/chicorycart/flows/receivers.py
@@ -0,0 +1,130 @@
+"""Take the messages of other agents on the ownership of flows."""
+
+from chicorycart.address import Address
+from chicorycart.address import unpack_address
+from chicorycart.flows.announce import OwnerAnnouncer
+from chicorycart.flows.claims import Claims
+from chicorycart.flows.errors import FlowError
+from chicorycart.flows.mates import ServiceMates
+from chicorycart.flows.messages import decode_answer
+from chicorycart.flows.messages import decode_query
+from chicorycart.flows.messages import decode_record
+from chicorycart.flows.records import OwnerRecords
+
+
+def check_service(service: int, own: int) -> None:
+    """Refuse a message of another service.
+
+    Raises
+    ------
+    FlowError
+        If it is of another service.
+    """
+    if service != own:
+        raise FlowError(f"message of another service {service:x}")
+
+
+class RecordReceiver:
+    """Takes owner records.
+
+    Parameters
+    ----------
+    service : int
+        Identifier of the own service.
+    mates : ServiceMates
+        Learns the owners.
+    records : OwnerRecords
+        Holds the records.
+    """
+
+    __slots__ = ("service", "mates", "records")
+
+    def __init__(
+        self, service: int, mates: ServiceMates, records: OwnerRecords
+    ):
+        self.service = service
+        self.mates = mates
+        self.records = records
+
+    def receive(self, body: bytes, source: Address) -> None:
+        """Take one record.
+
+        Raises
+        ------
+        FlowError
+            If it is of another service, or not from its owner.
+        """
+        record = decode_record(body)
+        check_service(record.service, self.service)
+        if unpack_address(record.owner) != source:
+            raise FlowError(f"record of {record.owner:x} from {source}")
+        if self.records.take(record):
+            self.mates.learn(record.owner)
+
+
+class QueryReceiver:
+    """Takes questions about owners.
+
+    Parameters
+    ----------
+    service : int
+        Identifier of the own service.
+    claims : Claims
+        Answers on single flows.
+    announcer : OwnerAnnouncer
+        Answers with the owner record.
+    """
+
+    __slots__ = ("service", "claims", "announcer")
+
+    def __init__(
+        self, service: int, claims: Claims, announcer: OwnerAnnouncer
+    ):
+        self.service = service
+        self.claims = claims
+        self.announcer = announcer
+
+    def receive(self, body: bytes, source: Address) -> None:
+        """Take one question.
+
+        Raises
+        ------
+        FlowError
+            If it cannot be read or is of another service.
+        """
+        query = decode_query(body)
+        check_service(query.service, self.service)
+        if query.flow is None:
+            self.announcer.answer(source)
+        else:
+            self.claims.take_query(query.flow, source)
+
+
+class AnswerReceiver:
+    """Takes answers on owners of flows.
+
+    Parameters
+    ----------
+    service : int
+        Identifier of the own service.
+    claims : Claims
+        Waits for the answers.
+    """
+
+    __slots__ = ("service", "claims")
+
+    def __init__(self, service: int, claims: Claims):
+        self.service = service
+        self.claims = claims
+
+    def receive(self, body: bytes, source: Address) -> None:
+        """Take one answer.
+
+        Raises
+        ------
+        FlowError
+            If it cannot be read or is of another service.
+        """
+        answer = decode_answer(body)
+        check_service(answer.service, self.service)
+        self.claims.take_answer(answer, source)
--- a/chicorycart/links/datagrams.py
+++ b/chicorycart/links/datagrams.py
@@ -15,6 +15,9 @@
     """The first byte of every datagram between processes."""
 
     FORWARD = 1
+    OWNER_RECORD = 4
+    OWNER_QUERY = 5
+    OWNER_ANSWER = 10
 
 
 class Receiver(Protocol):
