--- /dev/null
+++ b/tests/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of flow ownership."""
