Test plain HTTP, bad callers and forwarded requests

Scenarios for HTTP/1.0, HEAD, bodies of each framing, cut answers, requests that cannot be taken, hanging and slow callers, doubled and late forwarded requests, the budget and silent mates. The noise of cancelled readers is gone.

--- a/chicorycart/requests/caller.py
+++ b/chicorycart/requests/caller.py
@@ -10,6 +10,7 @@
 from struct import pack
 from typing import Protocol
 
+from logbook import Logger
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPMessageDelegate
@@ -21,6 +22,7 @@
 from chicorycart.requests.errors import CallerLeftError
 from chicorycart.requests.pipe import Pipe
 
+LOGGER = Logger("requests")
 HTTP_1_0 = "HTTP/1.0"
 HTTP_1_1 = "HTTP/1.1"
 RESET_ON_CLOSE = pack("ii", 1, 0)
@@ -68,7 +70,17 @@
         self.version = start_line.version
         self.method = start_line.method
         self.connection.set_close_callback(self.on_connection_close)
-        self.task = create_task(self.service.serve(start_line, headers, self))
+        self.task = create_task(self.run(start_line, headers))
+
+    async def run(self, line: RequestStartLine, headers: HTTPHeaders) -> None:
+        """Have the request answered; never leave its caller waiting."""
+        try:
+            await self.service.serve(line, headers, self)
+        except CallerLeftError:
+            self.cut()
+        except Exception:
+            LOGGER.exception("event=request_failed path={!r}", line.path)
+            self.cut()
 
     async def data_received(self, chunk: bytes) -> None:
         """Take a part of the body, as fast as it is passed on."""
@@ -109,7 +121,10 @@
             headers["Connection"] = "close"
             self.connection._disconnect_on_finish = True
         line = ResponseStartLine(HTTP_1_1, status, reason)
-        await self.connection.write_headers(line, headers)
+        try:
+            await self.connection.write_headers(line, headers)
+        except StreamClosedError as error:
+            raise CallerLeftError("the caller left") from error
 
     async def write(self, chunk: bytes) -> None:
         """Write a part of the answer, as fast as the caller reads."""
--- a/chicorycart/requests/exchange.py
+++ b/chicorycart/requests/exchange.py
@@ -108,13 +108,14 @@
     request is sent over it.
     """
 
-    __slots__ = ("stream", "connection", "reader", "tasks")
+    __slots__ = ("stream", "connection", "reader", "receiver", "sender")
 
     def __init__(self, stream: IOStream):
         self.stream = stream
         self.connection = HTTP1Connection(stream, True, PARAMETERS)
         self.reader = AnswerReader(stream)
-        self.tasks: list[Task] = []
+        self.receiver: Task | None = None
+        self.sender: Task | None = None
 
     async def run(
         self,
@@ -131,10 +132,8 @@
             If no answer begins before the deadline (of the loop's time) or
             the connection breaks.
         """
-        self.tasks = [
-            create_task(self.receive()),
-            create_task(self.send(line, headers, body)),
-        ]
+        self.receiver = create_task(self.receive())
+        self.sender = create_task(self.send(line, headers, body))
         try:
             async with timeout_at(deadline):
                 return await self.reader.head
@@ -166,6 +165,8 @@
         try:
             await self.connection.read_response(self.reader)
         except StreamClosedError:
+            pass
+        finally:
             self.reader.break_off()
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -181,9 +182,10 @@
 
     def close(self) -> None:
         """Close the connection; an unfinished request is so cancelled."""
-        for task in self.tasks:
-            task.cancel()
-        self.stream.close()
+        if self.sender is not None:
+            self.sender.cancel()
+        self.reader.pipe.discard()
+        self.connection.close()
 
 
 async def open_exchange(
--- a/chicorycart/requests/gateway.py
+++ b/chicorycart/requests/gateway.py
@@ -1,9 +1,11 @@
 """The request gateway: decides where each request of a service runs."""
 
+from asyncio import CancelledError
 from asyncio import Event
 from asyncio import get_running_loop
 from collections.abc import Callable
 from random import Random
+from re import compile as compile_pattern
 
 from logbook import Logger
 from prometheus_client import CollectorRegistry
@@ -59,6 +61,8 @@
 LOGGER = Logger("decision")
 IDENTIFIER_BITS = 128
 SAMPLE_RANGE = 1 << IDENTIFIER_BITS
+IDENTIFIER = compile_pattern("[0-9a-f]{32}")
+BAD_REQUEST = 400
 LENGTH_REQUIRED = 411
 CONTENT_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
@@ -213,9 +217,9 @@
         except AnswerCutError as error:
             self.tell(identifier, "cut", str(error))
             caller.cut()
-        except CallerLeftError as error:
-            self.tell(identifier, "caller left", str(error))
-            caller.cut()
+        except (CallerLeftError, CancelledError):
+            self.tell(identifier, "caller left", "connection closed")
+            raise
         except RequestError as error:
             await self.refuse(identifier, error, caller)
         finally:
@@ -245,7 +249,7 @@
         wall = self.wall_clock()
         wall_deadline = wall + self.choose_seconds(headers)
         if is_forwarded:
-            identifier = headers.get(REQUEST_ID, "")
+            identifier = read_identifier(headers)
             deadline_ms = read_number(headers, DEADLINE) or 0
             wall_deadline = deadline_ms / MILLISECONDS
             self.seen.admit(identifier, wall_deadline)
@@ -444,8 +448,7 @@
 
     def decide(self, request: Request, choice: str, reason: str) -> None:
         """Log where a request goes, and why."""
-        digits = request.identifier
-        if not digits or int(digits, 16) >= self.log_limit:
+        if int(request.identifier, 16) >= self.log_limit:
             return
         LOGGER.info(
             "event=decision request={} choice={} reason={}",
@@ -455,6 +458,14 @@
         )
 
 
+def read_identifier(headers: HTTPHeaders) -> str:
+    """Return the identifier that a mate gave to a request."""
+    identifier = headers.get(REQUEST_ID, "")
+    if not IDENTIFIER.fullmatch(identifier):
+        raise BadRequestError(BAD_REQUEST, f"{REQUEST_ID} is missing or bad")
+    return identifier
+
+
 def is_not_run(head: AnswerHead) -> bool:
     """Tell whether an answer says that the request was not run."""
     outcome = head.headers.get(OUTCOME)
--- /dev/null
+++ b/tests/requests/http.feature
@@ -0,0 +1,65 @@
+Feature: Old callers speak plain HTTP
+
+  Scenario Outline: An answer comes through whole, or visibly cut
+    Given 1 gateway with 2 slots
+    And the target answers "<answer>"
+    When a caller sends the request "<request>"
+    Then the caller gets "<got>"
+
+    Examples: "~" stands for the end of a line
+      | request                    | answer                                                            | got                  |
+      | GET /a HTTP/1.1~~          | HTTP/1.1 200 OK~Content-Length: 5~~whole                          | 200 whole: whole     |
+      | GET /a HTTP/1.1~~          | HTTP/1.1 200 OK~Content-Length: 9~~short                          | 200 cut:             |
+      | GET /a HTTP/1.1~~          | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~5~hello~0~~           | 200 whole: hello     |
+      | GET /a HTTP/1.1~~          | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~5~hello~              | 200 cut:             |
+      | GET /a HTTP/1.1~~          | HTTP/1.1 200 OK~~until close                                      | 200 whole: until close |
+      | GET /a HTTP/1.0~~          | HTTP/1.1 200 OK~~until close                                      | 200 whole: until close |
+      | GET /a HTTP/1.0~Connection: keep-alive~~ | HTTP/1.1 200 OK~~until close                        | 200 whole: until close |
+      | GET /a HTTP/1.0~~          | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~5~hello~0~~           | 200 whole: hello     |
+      | GET /a HTTP/1.0~~          | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~5~hello~              | 200 cut:             |
+      | HEAD /a HTTP/1.1~~         | HTTP/1.1 200 OK~Content-Length: 5~~                               | 200 whole:           |
+      | GET /a HTTP/1.1~~          | HTTP/1.1 204 No Content~~                                         | 204 whole:           |
+      | GET /a HTTP/1.1~~          | HTTP/1.1 304 Not Modified~Content-Length: 5~~                     | 304 whole:           |
+      | GET /a HTTP/1.1~~          | HTTP/1.1 103 Early Hints~~HTTP/1.1 200 OK~Content-Length: 2~~ok   | 200 whole: ok        |
+      | GET /a HTTP/1.1~~          | HTTP/1.1 503 Busy~Content-Length: 4~~busy                         | 503 whole: busy      |
+      | POST /a HTTP/1.1~Expect: 100-continue~Content-Length: 2~~hi | HTTP/1.1 200 OK~Content-Length: 2~~ok | 200 whole: ok   |
+      | POST /a HTTP/1.1~Transfer-Encoding: chunked~~2~hi~0~~ | HTTP/1.1 200 OK~Content-Length: 2~~ok  | 200 whole: ok        |
+      | DELETE /a HTTP/1.1~Transfer-Encoding: chunked~~2~hi~0~~ | HTTP/1.1 200 OK~Content-Length: 2~~ok | 200 whole: ok       |
+
+  Scenario Outline: A request that cannot be taken is answered clearly
+    Given 1 gateway with 2 slots
+    And target 1 "hangs before running"
+    When a caller sends <bytes> bytes of "<part>" in "<request>"
+    Then the caller gets "<got>"
+    And the target ran nothing
+
+    Examples:
+      | request                                               | bytes    | part  | got          |
+      | GET /a HTTP/1.1~Padding: *~~                          | 70000    | field | 431 not-run: |
+      | POST /a HTTP/1.1~Content-Length: 17000000~~*          | 1000     | body  | 413 not-run: |
+      | POST /a HTTP/1.1~Transfer-Encoding: chunked~~*        | 17000000 | chunks | 413 unknown: |
+      | DELETE /a HTTP/1.1~Transfer-Encoding: chunked~~*      | 100000   | chunks | 411 not-run: |
+
+  Scenario: Repeated fields are kept, those of one connection are not
+    Given 1 gateway with 2 slots
+    And the target answers "HTTP/1.1 200 OK~Set-Cookie: a=1~Set-Cookie: b=2~Connection: X-Hop~X-Hop: 1~Content-Length: 0~~"
+    When a caller sends the request "GET /a HTTP/1.1~Connection: X-Secret~X-Secret: 1~X-Chicorycart-Hops: 1~Cookie: a=1~~"
+    Then the answer has the fields "Set-Cookie: a=1, Set-Cookie: b=2" and not "X-Hop"
+    And the target got the fields "Cookie: a=1, X-Request-Id, X-Request-Timeout-Ms" and not "X-Secret, X-Chicorycart-Hops"
+
+  Scenario: Pipelined requests are answered in their order
+    Given 1 gateway with 2 slots
+    When a caller pipelines "GET /1 HTTP/1.1~~GET /2 HTTP/1.1~~GET /3 HTTP/1.1~~" and hears 3 answers
+    Then the target ran "/1 /2 /3" in this order
+
+  Scenario Outline: A bad caller does not hurt another: <bad>
+    Given 1 gateway with 1 slots
+    And the target answers a body of <bytes> bytes
+    When a caller falls silent after "<bad>"
+    Then another caller is told "200 whole" within 5 s
+
+    Examples:
+      | bad                                          | bytes    |
+      | POST /a HTTP/1.1~Content-Length: 100~~half   | 10       |
+      | GET /a HTTP/1.1~Half-a-field                 | 10       |
+      | GET /a HTTP/1.1~~                            | 30000000 |
--- /dev/null
+++ b/tests/requests/mates_steps.py
@@ -0,0 +1,110 @@
+"""Steps that forward requests between gateways."""
+
+from time import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from tests.standins.caller import build_request
+from tests.standins.caller import send
+from tests.standins.faulty import Fault
+from tests.standins.faulty import FaultyTarget
+
+PATH = "/bookings/1"
+AHEAD_SECONDS = 20
+OUTSIDER = "127.0.0.1"
+
+
+def forward(context, number, source, ahead=AHEAD_SECONDS, times=1):
+    request = build_request(
+        PATH,
+        X_Chicorycart_Hops="1",
+        X_Chicorycart_Deadline=str(int((time() + ahead) * 1000)),
+        X_Request_Id="ab" * 16,
+    )
+    gateway = context.pool.plan.hosts[number - 1].gateway
+    context.answers = [
+        context.run(send(gateway, request, source)) for _ in range(times)
+    ]
+
+
+def host(context, number):
+    return context.pool.plan.hosts[number - 1].gateway.host
+
+
+@given("the link to gateway {number:d} is silent")
+def silence(context, number):
+    gateway = context.pool.plan.hosts[number - 1].gateway
+    context.run(context.pool.servers[number - 1].close())
+    silent = FaultyTarget(gateway)
+    context.pool.targets.append(silent)
+    context.run(silent.set_fault(Fault.HANG_BEFORE_RUN))
+
+
+@when("instance {source:d} forwards a booking to gateway {number:d}")
+def forward_once(context, source, number):
+    forward(context, number, host(context, source))
+
+
+@when("instance {source:d} forwards a booking to gateway {number:d} twice")
+def forward_twice(context, source, number):
+    forward(context, number, host(context, source), times=2)
+
+
+@when(
+    "instance {source:d} forwards a booking to gateway {number:d}"
+    " past its deadline"
+)
+def forward_late(context, source, number):
+    forward(context, number, host(context, source), ahead=-1)
+
+
+@when("an outsider forwards a booking to gateway {number:d}")
+def forward_outside(context, number):
+    forward(context, number, OUTSIDER, ahead=-1)
+
+
+@when(
+    "a caller books {times:d} times with {timeout_ms:d} ms each"
+    " at gateway {number:d}"
+)
+def book(context, times, timeout_ms, number):
+    request = build_request(PATH, X_Request_Timeout_Ms=str(timeout_ms))
+    gateway = context.pool.plan.hosts[number - 1].gateway
+    context.answers = [
+        context.run(send(gateway, request)) for _ in range(times)
+    ]
+
+
+@then('the answers are "{told}"')
+def check_told(context, told):
+    assert [a.told for a in context.answers] == told.split(", "), [
+        a.told for a in context.answers
+    ]
+
+
+@then("the bookings ran {times:d} times")
+def check_runs(context, times):
+    assert context.pool.runs(PATH) == times, context.pool.runs(PATH)
+
+
+@then("at most {times:d} bookings ran")
+def check_budget(context, times):
+    runs = context.pool.runs(PATH)
+    assert 0 < runs <= times, runs
+
+
+@then('{count:d} of the answers at most is "{rare}", the others "{usual}"')
+def check_rare(context, count, rare, usual):
+    told = [answer.told for answer in context.answers]
+    assert told.count(rare) <= count, told
+    assert told.count(rare) + told.count(usual) == len(told), told
+
+
+@then("refused callers are told different times of {least:d} to {most:d} s")
+def check_retry_after(context, least, most):
+    refused = [a for a in context.answers if a.told == "503 not-run"]
+    times = {int(answer.field("Retry-After")) for answer in refused}
+    assert len(times) > 1, times
+    assert least <= min(times) and max(times) <= most, times
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -3,6 +3,7 @@
 from asyncio import IncompleteReadError
 from asyncio import open_connection
 from asyncio import StreamReader
+from asyncio import StreamWriter
 from asyncio import wait_for
 
 from chicorycart.address import Address
@@ -43,37 +44,72 @@
         return f"{self.status} {'whole' if self.is_whole else 'cut'}"
 
 
-async def send(address: Address, *parts: bytes) -> Answer:
-    """Send the parts over a new connection and read one answer."""
-    reader, writer = await open_connection(*address)
+class CallerConnection:
+    """A connection of a caller that sends requests and reads answers."""
+
+    def __init__(self, reader: StreamReader, writer: StreamWriter):
+        self.reader = reader
+        self.writer = writer
+
+    async def send(self, request: bytes) -> None:
+        """Send a request, or a part of one."""
+        self.writer.write(request)
+        await self.writer.drain()
+
+    async def hear(self, is_head: bool = False) -> Answer:
+        """Read one answer."""
+        reading = read_answer(self.reader, is_head)
+        return await wait_for(reading, ANSWER_SECONDS)
+
+    def close(self) -> None:
+        """Leave."""
+        self.writer.close()
+
+
+async def connect(address: Address, source: str | None = None):
+    """Open a connection, from a given IP number if wanted."""
+    local = None if source is None else (source, 0)
+    return CallerConnection(*await open_connection(*address, local_addr=local))
+
+
+async def send(
+    address: Address, request: bytes, source: str | None = None
+) -> Answer:
+    """Send a request over a new connection and read its answer."""
+    connection = await connect(address, source)
     try:
-        for part in parts:
-            writer.write(part)
-            await writer.drain()
-        return await wait_for(read_answer(reader), ANSWER_SECONDS)
+        await connection.send(request)
+        return await connection.hear(request.startswith(b"HEAD"))
     finally:
-        writer.close()
+        connection.close()
 
 
-async def read_answer(reader: StreamReader) -> Answer:
-    """Read one answer, as much as there is of it."""
+async def read_answer(reader: StreamReader, is_head: bool = False) -> Answer:
+    """Read one answer, as much as there is of it; skip interim ones."""
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
     except (IncompleteReadError, ConnectionError):
         return Answer("", b"", False)
-    if " 100 " in head.partition("\r\n")[0]:
-        return await read_answer(reader)
+    if head.split()[1] == "100":
+        return await read_answer(reader, is_head)
+    if is_head or head.split()[1] in ("204", "304"):
+        return Answer(head, b"", True)
     try:
-        length = read_field(head, "Content-Length")
-        if length is not None:
-            return Answer(head, await reader.readexactly(int(length)), True)
-        if read_field(head, "Transfer-Encoding") == "chunked":
-            return Answer(head, await read_chunks(reader), True)
-        return Answer(head, await reader.read(), True)
+        return Answer(head, await read_body(reader, head), True)
     except (IncompleteReadError, ConnectionError):
         return Answer(head, b"", False)
 
 
+async def read_body(reader: StreamReader, head: str) -> bytes:
+    """Read a body to the end that its head announces."""
+    length = read_field(head, "Content-Length")
+    if length is not None:
+        return await reader.readexactly(int(length))
+    if read_field(head, "Transfer-Encoding") == "chunked":
+        return await read_chunks(reader)
+    return await reader.read()
+
+
 async def read_chunks(reader: StreamReader) -> bytes:
     """Read a chunked body."""
     body = b""
--- a/tests/standins/faulty.py
+++ b/tests/standins/faulty.py
@@ -64,6 +64,8 @@
         Requests whose connection was closed while the target hung.
     is_hanging : Event
         Set once a request hangs.
+    canned : bytes
+        What a request is answered with if nothing fails.
     """
 
     def __init__(self, address: Address):
@@ -73,6 +75,7 @@
         self.heads: list[str] = []
         self.cancelled = 0
         self.is_hanging = Event()
+        self.canned = WHOLE
         self.server = None
         self.tasks = set()
 
@@ -129,7 +132,7 @@
             return
         if self.fault is Fault.LATE:
             await sleep(LATE_SECONDS)
-        writer.write(ANSWERS.get(self.fault, WHOLE))
+        writer.write(ANSWERS.get(self.fault, self.canned))
         await writer.drain()
         if self.fault is Fault.SILENT_MID_ANSWER:
             await sleep(LATE_SECONDS)
