--- a/chicorycart/flows/table.py
+++ b/chicorycart/flows/table.py
@@ -30,6 +30,8 @@
         Deadline of each flow.
     wheel : dict of int to list of bytes
         Flows to look at, by tick.
+    closing : int
+        Flows of the table that are closing.
     swept : int
         First tick whose flows have not all been looked at.
     """
@@ -43,6 +45,7 @@
         "tick",
         "idle_deadline",
         "closing_deadline",
+        "closing",
     )
 
     def __init__(self, clock: Clock, limit: int = MAX_OWNED_FLOWS):
@@ -50,6 +53,7 @@
         self.limit = limit
         self.deadlines: dict[bytes, int] = {}
         self.wheel: dict[int, list[bytes]] = {}
+        self.closing = 0
         self.tick = -1
         self.advance()
         self.swept = self.tick
@@ -57,6 +61,10 @@
     def __len__(self) -> int:
         return len(self.deadlines)
 
+    def count_open(self) -> int:
+        """Return how many owned flows are not closing."""
+        return len(self.deadlines) - self.closing
+
     def is_full(self) -> bool:
         """Tell whether no other flow can be owned."""
         return len(self.deadlines) >= self.limit
@@ -93,6 +101,8 @@
         """Change the deadline; list the flow if it comes earlier."""
         before = self.deadlines.get(flow)
         self.deadlines[flow] = deadline
+        was_closing = before is not None and before & CLOSING_BIT
+        self.closing += (deadline & CLOSING_BIT) - int(was_closing)
         if before is None or deadline >> 1 < before >> 1:
             self.wheel.setdefault(deadline >> 1, []).append(flow)
 
@@ -138,6 +148,7 @@
             return
         if deadline >> 1 <= self.tick:
             del self.deadlines[flow]
+            self.closing -= deadline & CLOSING_BIT
         else:
             self.wheel.setdefault(deadline >> 1, []).append(flow)
 
