--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -11,6 +11,7 @@
 from chicorycart.address import pack_address
 from chicorycart.agent.acceptance import TargetAcceptance
 from chicorycart.agent.host import DecapsulatingHost
+from chicorycart.agent.kernel import KernelConnections
 from chicorycart.agent.ownership import FlowOwnership
 from chicorycart.agent.pages import list_pages
 from chicorycart.clock import LoopClock
@@ -60,6 +61,7 @@
                 self.store, settings.service, pack_address(daemon.data), clock
             ),
             DecapsulatingHost(self.data_socket, settings.decapsulation),
+            KernelConnections(),
             TargetAcceptance(self.store, settings.service, settings.target),
             self.link,
             time_ns(),
@@ -104,7 +106,7 @@
     def describe_status(self) -> dict[str, Any]:
         """Return name, role, version in force and owned flows."""
         table = self.ownership.table
-        closing = table.count_closing()
+        flows = table.count_open()
         return {
             "name": self.settings.daemon.name,
             "role": "agent",
@@ -112,8 +114,8 @@
             "target": self.settings.target,
             "ready": self.is_ready(),
             "version": self.store.current.version,
-            "flows": len(table) - closing,
-            "closing": closing,
+            "flows": flows,
+            "closing": len(table) - flows,
             "requests": self.requests.gateway.in_progress
             if self.requests is not None
             else 0,
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -72,6 +72,47 @@
 LOG_SAMPLE = 1.0
 """Share of routing decisions that are logged."""
 
+MAX_SEARCH_LENGTH = 12
+"""Agents that one packet may be offered to while its owner is sought."""
+
+OWNER_LEASE_SECONDS = 90.0
+"""Time after which an owner record lapses unless it is refreshed."""
+
+OWNER_REFRESH_SECONDS = 30.0
+"""Time between two owner records of one owner."""
+
+OWNER_BYTES_PER_SECOND = 1024
+"""Rate at which one agent sends owner records."""
+
+OWNER_REPEAT_SECONDS = 1.0
+"""Time in which an owner record is sent to one agent at most once."""
+
+MAX_LEASE_SECONDS = 600.0
+"""Longest lease of an owner record that is believed."""
+
+MAX_RECORD_OWNERS = 64
+"""Owners of one service whose records an agent holds."""
+
+MAX_KNOWN_AGENTS = 256
+"""Present and past agents of its service that an agent knows."""
+
+SCAN_SLICE_FLOWS = 256
+"""Owned flows that are looked at before other work gets its turn."""
+
+SETTLING_SECONDS = 12.0
+"""Time in which versions and owner records reach every agent."""
+
+TICK_SECONDS = 0.5
+"""Time between two signs that a process was not paused."""
+
+PAUSE_SECONDS = 2.0
+"""Time without a sign after which a process was paused."""
+
+CLAIM_TIMEOUT_SECONDS = 0.1
+"""Time for which an opening packet waits for claims of other agents."""
+
+MAX_PENDING_OPENINGS = 4_096
+"""Opening packets of one agent that wait for claims."""
 TOOL_TIMEOUT_SECONDS = 5.0
 """Time the command-line tool gives one daemon to answer."""
 
--- a/chicorycart/flows/table.py
+++ b/chicorycart/flows/table.py
@@ -1,7 +1,6 @@
 """The flows that one agent owns."""
 
 from chicorycart.clock import Clock
-from chicorycart.defaults import ADOPTED_FLOW_SECONDS
 from chicorycart.defaults import CLOSED_FLOW_SECONDS
 from chicorycart.defaults import FLOW_IDLE_SECONDS
 from chicorycart.defaults import FLOW_TICK_SECONDS
@@ -31,6 +30,8 @@
         Deadline of each flow.
     wheel : dict of int to list of bytes
         Flows to look at, by tick.
+    closing : int
+        Flows of the table that are closing.
     swept : int
         First tick whose flows have not all been looked at.
     """
@@ -44,7 +45,7 @@
         "tick",
         "idle_deadline",
         "closing_deadline",
-        "adopted_deadline",
+        "closing",
     )
 
     def __init__(self, clock: Clock, limit: int = MAX_OWNED_FLOWS):
@@ -52,6 +53,7 @@
         self.limit = limit
         self.deadlines: dict[bytes, int] = {}
         self.wheel: dict[int, list[bytes]] = {}
+        self.closing = 0
         self.tick = -1
         self.advance()
         self.swept = self.tick
@@ -59,6 +61,10 @@
     def __len__(self) -> int:
         return len(self.deadlines)
 
+    def count_open(self) -> int:
+        """Return how many owned flows are not closing."""
+        return len(self.deadlines) - self.closing
+
     def is_full(self) -> bool:
         """Tell whether no other flow can be owned."""
         return len(self.deadlines) >= self.limit
@@ -71,10 +77,6 @@
         self.advance()
         return deadline >> 1 > self.tick
 
-    def count_closing(self) -> int:
-        """Return how many owned flows their callers have closed."""
-        return sum(d & CLOSING_BIT for d in self.deadlines.values())
-
     def list_flows(self) -> list[bytes]:
         """Return the owned flows."""
         return list(self.deadlines)
@@ -95,15 +97,12 @@
         else:
             self.set_deadline(flow, self.idle_deadline)
 
-    def adopt(self, flow: bytes) -> None:
-        """Own the flow for a short time, unless it shows itself again."""
-        self.advance()
-        self.set_deadline(flow, self.adopted_deadline)
-
     def set_deadline(self, flow: bytes, deadline: int) -> None:
         """Change the deadline; list the flow if it comes earlier."""
         before = self.deadlines.get(flow)
         self.deadlines[flow] = deadline
+        was_closing = before is not None and before & CLOSING_BIT
+        self.closing += (deadline & CLOSING_BIT) - int(was_closing)
         if before is None or deadline >> 1 < before >> 1:
             self.wheel.setdefault(deadline >> 1, []).append(flow)
 
@@ -114,7 +113,6 @@
             return
         self.tick = tick
         self.idle_deadline = make_deadline(tick, FLOW_IDLE_SECONDS)
-        self.adopted_deadline = make_deadline(tick, ADOPTED_FLOW_SECONDS)
         closing = make_deadline(tick, CLOSED_FLOW_SECONDS)
         self.closing_deadline = closing | CLOSING_BIT
 
@@ -150,6 +148,7 @@
             return
         if deadline >> 1 <= self.tick:
             del self.deadlines[flow]
+            self.closing -= deadline & CLOSING_BIT
         else:
             self.wheel.setdefault(deadline >> 1, []).append(flow)
 
