--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the system's parts, apart from the tests."""
