--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -6,6 +6,9 @@
 CURRENT_CANDIDATES = 2
 """Targets of the version in force that may accept an opening flow."""
 
+CHOICE_HYSTERESIS = 0.1
+"""Share by which another candidate must be less loaded to get a flow."""
+
 MAX_CHAIN_LENGTH = 6
 """Targets that one packet may be passed along."""
 
@@ -62,3 +65,24 @@
 
 LOG_SAMPLE = 1.0
 """Share of routing decisions that are logged."""
+
+STRENGTH_WINDOW_SECONDS = 10.0
+"""Time between two changes of a target's measured strength."""
+
+MIN_MEASURED_WORKS = 10
+"""Ended works that a measurement of strength needs."""
+
+MAX_MEASURED_WORK_SECONDS = 10.0
+"""Duration above which a work does not count for the strength."""
+
+STRENGTH_MAX_STEP = 1.25
+"""Factor by which one measurement may change the strength."""
+
+STRENGTH_SMOOTHING = 0.25
+"""Share of a new measurement in the strength."""
+
+SLOW_START_SECONDS = 30.0
+"""Time in which a new target's reported strength rises to the whole."""
+
+SLOW_START_INITIAL_SHARE = 0.1
+"""Share of its strength that a new target reports at its start."""
--- a/chicorycart/placement/load.py
+++ b/chicorycart/placement/load.py
@@ -36,7 +36,11 @@
     @property
     def relative(self) -> float:
         """Work in progress and queued for each unit of strength."""
-        return (self.in_progress + self.queued) / self.strength
+        return self.relative_with(0)
+
+    def relative_with(self, added: int) -> float:
+        """Return the relative load with some flows added."""
+        return (self.in_progress + self.queued + added) / self.strength
 
 
 class LoadSource(Protocol):
@@ -52,5 +56,6 @@
     def load_of(self, agent: int) -> Load | None:
         """Return the last load heard from an agent (packed address).
 
-        None if none was heard within the lease of its heartbeat.
+        Every heartbeat gives a new object; between two heartbeats the same
+        one is returned. None if none was heard within the lease.
         """
