Choose the candidate by load, learn the strength of a target

Cause: the agent kept every opening flow while its target took new work, and the published weight alone stood for its strength. The choice: the least loaded candidate by work over strength with the flow added; 10 % hysteresis; what was passed on since a mate's last heartbeat counts twice; an idle target keeps its flows, so that a strength measured too low gets measured again.

--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -9,6 +9,9 @@
 CHOICE_HYSTERESIS = 0.1
 """Share by which another candidate must be less loaded to get a flow."""
 
+SENT_FLOW_WEIGHT = 2
+"""Flows that each flow passed on since a heartbeat counts for."""
+
 MAX_CHAIN_LENGTH = 6
 """Targets that one packet may be passed along."""
 
--- a/chicorycart/placement/choice.py
+++ b/chicorycart/placement/choice.py
@@ -1,8 +1,10 @@
 """Chooses by real load which candidate takes an opening flow."""
 
 from collections.abc import Iterable
+from math import inf
 
 from chicorycart.defaults import CHOICE_HYSTERESIS
+from chicorycart.defaults import SENT_FLOW_WEIGHT
 from chicorycart.placement.load import Load
 from chicorycart.placement.load import LoadSource
 from chicorycart.placement.load import MateLoads
@@ -30,8 +32,12 @@
     """Chooses between the agent's own target and the other candidates.
 
     The load of a mate is as old as its last heartbeat. What was passed on
-    to it since then counts as work in progress there, so that one heartbeat
-    of an idle target does not draw every flow until the next one.
+    to it since then counts as work in progress there, and more than once,
+    since other agents pass on flows to it too. So one heartbeat of an idle
+    target does not draw every flow until the next one.
+
+    An idle target keeps its flows, so that a strength measured too low is
+    measured again.
 
     Parameters
     ----------
@@ -64,9 +70,8 @@
         candidates : iterable of int
             Packed addresses of the mates that may get it.
         """
-        own = self.source.current_load()
-        limit = own.relative_with(1) / (1 + self.hysteresis)
         best = None
+        limit = self.own_limit()
         for agent in candidates:
             relative = self.relative_of(agent)
             if relative is not None and relative < limit:
@@ -75,18 +80,28 @@
             self.sent[best].flows += 1
         return best
 
+    def own_limit(self) -> float:
+        """Return the load below which a mate gets the flow."""
+        own = self.source.current_load()
+        if not own.takes_new_work or own.strength <= 0:
+            return inf
+        if own.in_progress + own.queued == 0:
+            return 0.0
+        return own.relative_with(1) / (1 + self.hysteresis)
+
     def relative_of(self, agent: int) -> float | None:
         """Return the load of a mate with the flow added.
 
-        None if the load is not known or the mate takes no new work.
+        None if the load is not known, says nothing, or the mate takes no
+        new work.
         """
         load = self.mates.load_of(agent)
         if load is None:
             self.sent.pop(agent, None)
             return None
-        if not load.takes_new_work:
+        if not load.takes_new_work or load.strength <= 0:
             return None
         sent = self.sent.get(agent)
         if sent is None or sent.load is not load:
             sent = self.sent[agent] = SentSince(load)
-        return load.relative_with(sent.flows + 1)
+        return load.relative_with(1 + SENT_FLOW_WEIGHT * sent.flows)
--- /dev/null
+++ b/tests/placement/choice_steps.py
@@ -0,0 +1,87 @@
+"""Steps on the choice of a candidate by load."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from chicorycart.placement.choice import LoadChoice
+from chicorycart.placement.load import Load
+
+
+class FixedSource:
+    """A target whose load the scenario sets."""
+
+    def __init__(self, load):
+        self.load = load
+
+    def current_load(self):
+        return self.load
+
+
+class FixedMates:
+    """Mates whose heartbeats the scenario sends."""
+
+    def __init__(self):
+        self.loads = {}
+
+    def load_of(self, agent):
+        return self.loads.get(agent)
+
+
+def choose(context):
+    return context.choice.choose(list(context.agents.values()))
+
+
+@given("an own target of strength {strength:g} with {flows:d} flows")
+def own_target(context, strength, flows):
+    context.source = FixedSource(Load(flows, 0, strength))
+    context.mates = FixedMates()
+    context.agents = {}
+    context.choice = LoadChoice(context.source, context.mates)
+
+
+@given('a mate "{name}" of strength {strength:g} with {flows:d} flows')
+def mate(context, name, strength, flows):
+    agent = context.agents.setdefault(name, len(context.agents) + 1)
+    context.mates.loads[agent] = Load(flows, 0, strength)
+
+
+@given(
+    'a mate "{name}" of strength {strength:g} with {flows:d} flows'
+    " that takes no new work"
+)
+def leaving_mate(context, name, strength, flows):
+    mate(context, name, strength, flows)
+    context.mates.loads[context.agents[name]].takes_new_work = False
+
+
+@given("the own target takes no new work")
+def own_leaves(context):
+    context.source.load.takes_new_work = False
+
+
+@when("{count:d} flows are placed")
+def place_flows(context, count):
+    context.placed = [choose(context) for _ in range(count)]
+
+
+@when('"{name}" is heard with {flows:d} flows')
+def hear_mate(context, name, flows):
+    mate(context, name, 10.0, flows)
+
+
+@when('the lease of "{name}" ends')
+def end_lease(context, name):
+    del context.mates.loads[context.agents[name]]
+
+
+@then("the flow goes to {choice}")
+def check_choice(context, choice):
+    found = choose(context)
+    assert found == context.agents.get(choice), found
+
+
+@then('at least {low:d} and at most {high:d} of them went to "{name}"')
+def check_drawn(context, low, high, name):
+    drawn = context.placed.count(context.agents[name])
+    assert low <= drawn <= high, drawn
--- /dev/null
+++ b/tests/placement/strength_steps.py
@@ -0,0 +1,81 @@
+"""Steps on the strength of targets."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from chicorycart.address import pack_address
+from chicorycart.placement.load import Load
+from chicorycart.placement.strength import initial_strength
+from chicorycart.placement.strength import StrengthMeter
+from tests.placement.chain_steps import make_service
+from tests.placement.choice_steps import FixedMates
+
+
+class SetClock:
+    """A clock that the scenario sets."""
+
+    def __init__(self):
+        self.time = 0.0
+
+    def now(self):
+        return self.time
+
+
+@given(
+    "a target of {slots:d} slots that is assumed to end {rate:g}"
+    " {unit:w} a second"
+)
+def target(context, slots, rate, unit):
+    context.clock = SetClock()
+    context.meter = StrengthMeter(context.clock, slots, rate)
+
+
+@given("mates of weight 1 that end {rates} works a second")
+def mates(context, rates):
+    numbers = [float(rate) for rate in rates.replace(" and", ",").split(",")]
+    weights = {f"t-{n}": 1.0 for n in range(1, len(numbers) + 1)}
+    context.service = make_service(weights | {"own": 2.0})
+    context.mates = FixedMates()
+    for found, number in zip(context.service.targets, numbers, strict=False):
+        context.mates.loads[pack_address(found.agent)] = Load(0, 0, number)
+
+
+@given("no mate was heard")
+def no_mates(context):
+    context.service = make_service({"t-1": 1.0, "own": 2.0})
+    context.mates = FixedMates()
+
+
+@when("{count:d} works of {seconds:g} s end")
+def end_works(context, count, seconds):
+    for _ in range(count):
+        context.meter.record(seconds)
+
+
+@when("{spells:d} spells of {count:d} works of {seconds:g} s end")
+def end_spells(context, spells, count, seconds):
+    for _ in range(spells):
+        pass_time(context, 20)
+        end_works(context, count, seconds)
+
+
+@when("{seconds:g} s pass")
+def pass_time(context, seconds):
+    context.clock.time += seconds
+
+
+@then("its strength is between {low:g} and {high:g}")
+def check_strength(context, low, high):
+    assert low <= context.meter.strength <= high, context.meter.strength
+
+
+@then("it reports between {low:g} and {high:g}")
+def check_report(context, low, high):
+    assert low <= context.meter.current() <= high, context.meter.current()
+
+
+@then("a target of weight 2 is assumed to end {rate:g} works a second")
+def check_initial(context, rate):
+    found = initial_strength(context.service, "own", context.mates)
+    assert found == rate, found
