--- a/measure/queues.py
+++ b/measure/queues.py
@@ -7,34 +7,41 @@
 
 from chicorycart.placement.load import Load
 
+COLD_SPEED = 0.25
+COLD_SECONDS = 20.0
+
 
 class Events:
     """Runs what was scheduled, in order of time.
 
     Attributes
     ----------
-    now : float
+    time : float
         Virtual time in seconds.
     """
 
-    __slots__ = ("now", "heap", "count")
+    __slots__ = ("time", "heap", "count")
 
     def __init__(self):
-        self.now = 0.0
+        self.time = 0.0
         self.heap: list[tuple[float, int, Callable[[], None]]] = []
         self.count = 0
 
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.time
+
     def after(self, delay: float, action: Callable[[], None]) -> None:
         """Run the action after a delay in seconds."""
         self.count += 1
-        heappush(self.heap, (self.now + delay, self.count, action))
+        heappush(self.heap, (self.time + delay, self.count, action))
 
     def run(self, end: float) -> None:
         """Run all that is due until the end."""
         while self.heap and self.heap[0][0] <= end:
-            self.now, _, action = heappop(self.heap)
+            self.time, _, action = heappop(self.heap)
             action()
-        self.now = end
+        self.time = end
 
 
 class Queue:
@@ -57,6 +64,7 @@
         "busy",
         "waiting",
         "alive",
+        "started_at",
         "listeners",
     )
 
@@ -67,6 +75,7 @@
         self.busy = 0
         self.waiting: deque[float] = deque()
         self.alive = True
+        self.started_at = -COLD_SECONDS
         self.listeners: list[Callable[[float], None]] = []
 
     @property
@@ -81,7 +90,7 @@
 
     def load(self, strength: float) -> Load:
         """Return the load with a strength that may be wrong."""
-        return Load(self.busy, len(self.waiting), strength)
+        return Load(self.busy, len(self.waiting), strength, self.alive)
 
     def add(self, work: float) -> None:
         """Take a flow with that much work."""
@@ -90,10 +99,16 @@
         else:
             self.waiting.append(work)
 
+    def duration(self, work: float) -> float:
+        """Return the seconds that a flow holds its slot."""
+        age = self.events.now() - self.started_at
+        warmth = min(1.0, COLD_SPEED + age / COLD_SECONDS)
+        return work * self.slots / (self.strength * warmth)
+
     def start(self, work: float) -> None:
         """Begin to work on a flow."""
         self.busy += 1
-        seconds = work * self.slots / self.strength
+        seconds = self.duration(work)
         self.events.after(seconds, lambda: self.finish(seconds))
 
     def finish(self, seconds: float) -> None:
@@ -111,3 +126,18 @@
         self.alive = False
         self.busy = 0
         self.waiting.clear()
+
+    def appear(self) -> None:
+        """Start cold, with no flows."""
+        self.alive = True
+        self.started_at = self.events.now()
+
+
+class Feeds(Queue):
+    """A target whose flows stay open for as long as the caller wants."""
+
+    __slots__ = ()
+
+    def duration(self, work: float) -> float:
+        """Return the seconds that a flow is open."""
+        return work
