Exchange heartbeats and suspicions among agents and balancers

Cause: nothing told a balancer or an agent that an agent had died; a chain began with a dead target until the configuration changed.

Agents of a service exchange heartbeats with their load, report mates whose lease lapsed to a few balancers, and these probe, suspect and gossip. Ruled out: suspicion by gossip of every reporter's own record (ten times the records for the same answer).

--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -3,6 +3,7 @@
 from asyncio import create_task
 from asyncio import Event
 from random import Random
+from time import time
 from typing import Any
 
 from prometheus_client import CollectorRegistry
@@ -10,6 +11,8 @@
 from chicorycart.agent.acceptance import TargetAcceptance
 from chicorycart.agent.delivery import Delivery
 from chicorycart.agent.host import DecapsulatingHost
+from chicorycart.agent.load import FlowLoad
+from chicorycart.agent.membership import AgentMembership
 from chicorycart.clock import LoopClock
 from chicorycart.configuration.follow import follow_platform
 from chicorycart.configuration.model import hash_name
@@ -20,7 +23,9 @@
 from chicorycart.links.datagrams import DatagramLink
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.sockets import DatagramSocket
-from chicorycart.membership.sources import follow_instances
+from chicorycart.membership.follow import InstanceFollower
+from chicorycart.membership.incarnation import Incarnation
+from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.sources import KnownSources
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.operation.endpoints import serve_endpoints
@@ -43,7 +48,7 @@
         self.settings = settings
         self.registry = CollectorRegistry()
         self.store = ConfigurationStore(clock)
-        self.sources = KnownSources()
+        self.sources = KnownSources(clock)
         self.store.subscribe(self.sources)
         self.data_socket = DatagramSocket(daemon.data)
         self.link = DatagramLink(self.data_socket, self.sources, self.registry)
@@ -59,7 +64,24 @@
             self.registry,
         )
         self.link.register(MessageKind.FORWARD, self.delivery)
+        self.membership = AgentMembership(
+            settings,
+            clock,
+            self.store,
+            FlowLoad(
+                self.table, self.store, settings.service, settings.target
+            ),
+            self.link,
+            Incarnation(time()),
+            PauseDetector(clock),
+            Random(),
+        )
         self.platform = PlatformClient(daemon.platform)
+        self.instances = InstanceFollower(
+            self.platform, Random(), self.registry
+        )
+        self.instances.subscribe(self.sources)
+        self.instances.subscribe(self.membership.balancers)
         self.stopping = False
 
     def is_ready(self) -> bool:
@@ -76,6 +98,10 @@
             "ready": self.is_ready(),
             "version": self.store.current.version,
             "flows": len(self.table),
+            "mates": {
+                str(mate): mate.state
+                for mate in self.membership.mates.mates.values()
+            },
         }
 
     async def run(self, stop: Event) -> None:
@@ -88,7 +114,8 @@
             )
         tasks = [
             create_task(follow_platform(self.platform, self.store, Random())),
-            create_task(follow_instances(self.platform, self.sources)),
+            create_task(self.instances.run()),
+            self.membership.start(),
         ]
         self.data_socket.start(self.link)
         await stop.wait()
--- a/chicorycart/balancer/daemon.py
+++ b/chicorycart/balancer/daemon.py
@@ -3,23 +3,27 @@
 from asyncio import create_task
 from asyncio import Event
 from random import Random
+from time import time
 from typing import Any
 
 from prometheus_client import CollectorRegistry
 
+from chicorycart.address import unpack_address
 from chicorycart.balancer.forwarding import ChainCache
 from chicorycart.balancer.forwarding import Forwarder
+from chicorycart.balancer.membership import BalancerMembership
 from chicorycart.clock import LoopClock
 from chicorycart.configuration.follow import follow_platform
 from chicorycart.configuration.platform import PlatformClient
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.links.datagrams import DatagramLink
 from chicorycart.links.sockets import DatagramSocket
-from chicorycart.membership.sources import follow_instances
+from chicorycart.membership.follow import InstanceFollower
+from chicorycart.membership.incarnation import Incarnation
+from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.sources import KnownSources
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.operation.endpoints import serve_endpoints
-from chicorycart.placement.chain import NoSuspicions
 from chicorycart.settings.model import BalancerSettings
 
 
@@ -36,20 +40,38 @@
         daemon = settings.daemon
         self.settings = settings
         self.registry = CollectorRegistry()
-        self.store = ConfigurationStore(LoopClock())
-        self.sources = KnownSources()
+        clock = LoopClock()
+        self.store = ConfigurationStore(clock)
+        self.sources = KnownSources(clock)
         self.store.subscribe(self.sources)
         self.data_socket = DatagramSocket(daemon.data)
         self.fabric_socket = DatagramSocket(settings.fabric)
         self.link = DatagramLink(self.data_socket, self.sources, self.registry)
+        self.membership = BalancerMembership(
+            daemon,
+            clock,
+            self.store,
+            self.link,
+            Incarnation(time()),
+            PauseDetector(clock),
+            Random(),
+            self.registry,
+        )
+        chains = ChainCache(self.store, self.membership.suspicions)
+        self.membership.suspicions.subscribe(chains)
         self.forwarder = Forwarder(
             self.store,
-            ChainCache(self.store, NoSuspicions()),
+            chains,
             self.link,
             DecisionLog(daemon.log.decision_sample),
             self.registry,
         )
         self.platform = PlatformClient(daemon.platform)
+        self.instances = InstanceFollower(
+            self.platform, Random(), self.registry
+        )
+        self.instances.subscribe(self.sources)
+        self.instances.subscribe(self.membership.balancers)
         self.stopping = False
 
     def is_ready(self) -> bool:
@@ -63,6 +85,10 @@
             "role": "balancer",
             "ready": self.is_ready(),
             "version": self.store.current.version,
+            "suspected": [
+                str(unpack_address(agent))
+                for agent in self.membership.suspicions.suspected
+            ],
         }
 
     async def run(self, stop: Event) -> None:
@@ -71,7 +97,8 @@
         server = serve_endpoints(daemon.control, self.registry, self)
         tasks = [
             create_task(follow_platform(self.platform, self.store, Random())),
-            create_task(follow_instances(self.platform, self.sources)),
+            create_task(self.instances.run()),
+            self.membership.start(),
         ]
         self.data_socket.start(self.link)
         self.fabric_socket.start(self.forwarder)
--- a/chicorycart/configuration/platform.py
+++ b/chicorycart/configuration/platform.py
@@ -81,10 +81,10 @@
                 services[name] = parse_service(name, value)
         self.digests[shard] = digests
 
-    async def read_instances(self) -> list[dict[str, Any]]:
-        """Read the platform's list of instances, which may lag."""
+    async def read_instances(self) -> Any:
+        """Read the platform's list of instances, unchecked; it may lag."""
         value = await self.fetch("instances")
-        return value["instances"]
+        return value.get("instances") if isinstance(value, dict) else value
 
     async def fetch(self, key: str, waits: bool = False) -> Any:
         """Read one value; None if a watch ended without a change."""
--- a/chicorycart/links/datagrams.py
+++ b/chicorycart/links/datagrams.py
@@ -15,6 +15,8 @@
     """The first byte of every datagram between processes."""
 
     FORWARD = 1
+    HEARTBEAT = 2
+    SUSPICION = 3
 
 
 class Receiver(Protocol):
@@ -40,6 +42,13 @@
         """Send one message; it may be lost without notice."""
 
 
+class MessageLink(Sender, Protocol):
+    """A sender that also hands on what other processes send."""
+
+    def register(self, kind: MessageKind, receiver: Receiver) -> None:
+        """Hand the messages of one kind to the receiver."""
+
+
 class DatagramLink:
     """Sends and receives messages over one UDP socket.
 
--- /dev/null
+++ b/chicorycart/membership/evidence.py
@@ -0,0 +1,163 @@
+"""Decides when reports against an agent are enough to suspect it."""
+
+from logbook import Logger
+
+from chicorycart.address import Address
+from chicorycart.address import unpack_address
+from chicorycart.clock import Clock
+from chicorycart.defaults import GOSSIP_SECONDS
+from chicorycart.defaults import MAX_SUSPICIONS
+from chicorycart.defaults import PROBE_SECONDS
+from chicorycart.defaults import REPORT_LEASE_SECONDS
+from chicorycart.defaults import REPORTERS_NEEDED
+from chicorycart.defaults import SUSPICION_LEASE_SECONDS
+from chicorycart.links.datagrams import MessageKind
+from chicorycart.links.datagrams import Sender
+from chicorycart.membership.heartbeats import OwnHeartbeat
+from chicorycart.membership.messages import decode_heartbeat
+from chicorycart.membership.messages import encode_suspicions
+from chicorycart.membership.messages import SuspicionMessage
+from chicorycart.membership.messages import SuspicionRecord
+from chicorycart.membership.suspicions import SuspicionBook
+
+LOGGER = Logger("membership")
+
+
+class Case:
+    """The reports against one agent.
+
+    Attributes
+    ----------
+    incarnation : int
+        The newest incarnation that was reported.
+    reporters : dict of int to float
+        When each report lapses, by the packed address of the reporter.
+    probed_at : float
+        Time of the first probe that the agent has not answered.
+    """
+
+    __slots__ = ("incarnation", "reporters", "probed_at")
+
+    def __init__(self, incarnation: int, probed_at: float):
+        self.incarnation = incarnation
+        self.reporters: dict[int, float] = {}
+        self.probed_at = probed_at
+
+
+class Evidence:
+    """Weighs reports against what the balancer sees itself.
+
+    A reported agent is probed. One that answers is not suspected, whatever
+    is reported; one that is silent is suspected on the word of several
+    reporters, or of one after a longer silence.
+
+    Parameters
+    ----------
+    clock : Clock
+        Ages reports and probes.
+    book : SuspicionBook
+        Takes the suspicions.
+    own : OwnHeartbeat
+        Makes the probes.
+    sender : Sender
+        Sends the probes.
+    """
+
+    __slots__ = ("clock", "book", "own", "sender", "cases")
+
+    def __init__(
+        self,
+        clock: Clock,
+        book: SuspicionBook,
+        own: OwnHeartbeat,
+        sender: Sender,
+    ):
+        self.clock = clock
+        self.book = book
+        self.own = own
+        self.sender = sender
+        self.cases: dict[int, Case] = {}
+
+    def take_report(self, reporter: int, record: SuspicionRecord) -> None:
+        """Take what an agent says of one of its mates."""
+        if not record.is_suspected:
+            self.cases.pop(record.suspect, None)
+            self.book.refute(record.suspect, record.incarnation)
+            return
+        if len(self.cases) >= MAX_SUSPICIONS:
+            return
+        now = self.clock.now()
+        case = self.cases.get(record.suspect)
+        if case is None or case.incarnation < record.incarnation:
+            case = Case(record.incarnation, now)
+            self.cases[record.suspect] = case
+        elif case.incarnation > record.incarnation:
+            return
+        lease = min(record.remaining, REPORT_LEASE_SECONDS)
+        case.reporters[reporter] = now + lease
+        self.probe(record.suspect)
+
+    def probe(self, agent: int) -> None:
+        """Ask an agent for a heartbeat."""
+        body = self.own.encode_next(wants_answer=True)
+        self.sender.send(MessageKind.HEARTBEAT, body, unpack_address(agent))
+
+    def receive(self, body: bytes, source: Address) -> None:
+        """Take a heartbeat; answer it if asked to.
+
+        Raises
+        ------
+        MembershipMessageError
+            If it cannot be read or is not credible.
+        """
+        heartbeat = decode_heartbeat(body, source)
+        if heartbeat.wants_answer:
+            self.sender.send(
+                MessageKind.HEARTBEAT, self.own.encode_next(), source
+            )
+        self.cases.pop(heartbeat.sender, None)
+        kept = self.book.records.get(heartbeat.sender)
+        if kept is None or not kept.is_suspected:
+            return
+        if heartbeat.incarnation > kept.incarnation:
+            self.book.refute(heartbeat.sender, heartbeat.incarnation)
+        else:
+            self.tell_suspect(heartbeat.sender, kept.incarnation)
+
+    def tell_suspect(self, agent: int, incarnation: int) -> None:
+        """Let a live agent know that it is suspected."""
+        lease = SUSPICION_LEASE_SECONDS
+        record = SuspicionRecord(agent, incarnation, 0, lease, True)
+        message = SuspicionMessage(self.own.sender, False, [record])
+        self.sender.send(
+            MessageKind.SUSPICION,
+            encode_suspicions(message),
+            unpack_address(agent),
+        )
+
+    def check(self) -> None:
+        """Suspect the agents against whom there is enough."""
+        now = self.clock.now()
+        for agent, case in list(self.cases.items()):
+            case.reporters = {
+                reporter: expiry
+                for reporter, expiry in case.reporters.items()
+                if expiry > now
+            }
+            if not case.reporters:
+                del self.cases[agent]
+            elif self.is_enough(case):
+                self.book.suspect(agent, case.incarnation)
+            else:
+                self.probe(agent)
+
+    def is_enough(self, case: Case) -> bool:
+        """Tell whether a silent agent is to be suspected."""
+        silence = self.clock.now() - case.probed_at
+        if len(case.reporters) >= REPORTERS_NEEDED:
+            return silence >= GOSSIP_SECONDS
+        return silence >= PROBE_SECONDS
+
+    def resume(self, late_seconds: float) -> None:
+        """Forget reports and probes of the time before a pause."""
+        self.cases.clear()
--- /dev/null
+++ b/chicorycart/membership/gossip.py
@@ -0,0 +1,145 @@
+"""Spreads suspicions among the balancers, at a bounded rate."""
+
+from random import Random
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+
+from chicorycart.address import Address
+from chicorycart.defaults import DATAGRAM_HEADER_BYTES
+from chicorycart.defaults import GOSSIP_RECORDS
+from chicorycart.defaults import GOSSIP_SECONDS
+from chicorycart.defaults import HEARTBEAT_JITTER_SHARE
+from chicorycart.links.datagrams import MessageKind
+from chicorycart.links.datagrams import Sender
+from chicorycart.membership.budget import TokenBucket
+from chicorycart.membership.evidence import Evidence
+from chicorycart.membership.messages import decode_suspicions
+from chicorycart.membership.messages import encode_suspicions
+from chicorycart.membership.messages import SuspicionMessage
+from chicorycart.membership.messages import SuspicionRecord
+from chicorycart.membership.pauses import PauseDetector
+from chicorycart.membership.peers import PeerChoice
+from chicorycart.membership.suspicions import SuspicionBook
+
+KIND_BYTES = 1
+
+
+def measure_message(records: list[SuspicionRecord]) -> int:
+    """Return the bytes that a message of these records takes on the wire."""
+    body = encode_suspicions(SuspicionMessage(0, False, records))
+    return DATAGRAM_HEADER_BYTES + KIND_BYTES + len(body)
+
+
+EMPTY_RECORD = SuspicionRecord(0, 0, 0, 0.0, False)
+MESSAGE_BYTES = measure_message([])
+RECORD_BYTES = measure_message([EMPTY_RECORD]) - MESSAGE_BYTES
+
+
+class Gossip:
+    """Passes on the newest suspicions of a balancer.
+
+    Parameters
+    ----------
+    own : int
+        Packed address of the own process.
+    book : SuspicionBook
+        The suspicions.
+    evidence : Evidence
+        Takes the reports of agents.
+    peers : PeerChoice
+        Chooses where to send.
+    sender : Sender
+        Sends to other balancers.
+    bucket : TokenBucket
+        Bounds the bytes a second.
+    registry : CollectorRegistry
+        Where the metrics are registered.
+    """
+
+    __slots__ = (
+        "own",
+        "book",
+        "evidence",
+        "peers",
+        "sender",
+        "bucket",
+        "bytes_sent",
+    )
+
+    def __init__(
+        self,
+        own: int,
+        book: SuspicionBook,
+        evidence: Evidence,
+        peers: PeerChoice,
+        sender: Sender,
+        bucket: TokenBucket,
+        registry: CollectorRegistry,
+    ):
+        self.own = own
+        self.book = book
+        self.evidence = evidence
+        self.peers = peers
+        self.sender = sender
+        self.bucket = bucket
+        self.bytes_sent = Counter(
+            "chicorycart_gossip_bytes",
+            "Bytes of suspicions sent to balancers, headers included.",
+            registry=registry,
+        )
+        suspected = Gauge(
+            "chicorycart_suspected_agents",
+            "Agents that are suspected to be dead.",
+            registry=registry,
+        )
+        suspected.set_function(lambda: len(book.suspected))
+
+    async def run(self, detector: PauseDetector, random: Random) -> None:
+        """Gossip for as long as the process runs."""
+        detector.subscribe(self.evidence)
+        while True:
+            jitter = random.uniform(-1, 1) * HEARTBEAT_JITTER_SHARE
+            await detector.sleep(GOSSIP_SECONDS * (1 + jitter))
+            self.step()
+
+    def step(self) -> None:
+        """Weigh the reports, let leases lapse and send one round."""
+        self.evidence.check()
+        self.book.expire()
+        if not self.book.fresh:
+            return
+        for peer in self.peers.choose():
+            self.send_to(peer)
+
+    def send_to(self, peer: Address) -> None:
+        """Send as many records as the budget allows."""
+        room = self.bucket.available() - MESSAGE_BYTES
+        count = min(GOSSIP_RECORDS, int(room // RECORD_BYTES))
+        if count <= 0:
+            return
+        records = self.book.take_fresh(count)
+        if not records:
+            return
+        size = MESSAGE_BYTES + len(records) * RECORD_BYTES
+        self.bucket.spend(size)
+        self.bytes_sent.inc(size)
+        message = SuspicionMessage(self.own, False, records)
+        body = encode_suspicions(message)
+        self.sender.send(MessageKind.SUSPICION, body, peer)
+
+    def receive(self, body: bytes, source: Address) -> None:
+        """Take the reports of an agent or the gossip of a balancer.
+
+        Raises
+        ------
+        MembershipMessageError
+            If the message cannot be read or is not credible.
+        """
+        message = decode_suspicions(body, source)
+        for record in message.records:
+            if message.is_report:
+                self.evidence.take_report(message.sender, record)
+            else:
+                self.book.merge(record)
--- /dev/null
+++ b/chicorycart/membership/heartbeats.py
@@ -0,0 +1,74 @@
+"""The heartbeats that the own process sends."""
+
+from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.membership.incarnation import Incarnation
+from chicorycart.membership.messages import encode_heartbeat
+from chicorycart.membership.messages import Heartbeat
+from chicorycart.placement.load import Load
+from chicorycart.placement.load import LoadSource
+
+
+class NoLoad:
+    """The load of a process without a target."""
+
+    __slots__ = ()
+
+    def current_load(self) -> Load:
+        """Return a load that takes nothing."""
+        return Load(0, 0, 1.0, takes_new_work=False)
+
+
+class OwnHeartbeat:
+    """Makes the next heartbeat of the own process.
+
+    Parameters
+    ----------
+    sender : int
+        Packed address where the own process takes datagrams.
+    service : int
+        Identifier of the own service, `NO_SERVICE` for a balancer.
+    incarnation : Incarnation
+        Of the own process.
+    store : ConfigurationStore
+        Tells the configuration version in force.
+    load : LoadSource
+        Knows the load of the own target.
+    """
+
+    __slots__ = (
+        "sender",
+        "service",
+        "incarnation",
+        "store",
+        "load",
+        "sequence",
+    )
+
+    def __init__(
+        self,
+        sender: int,
+        service: int,
+        incarnation: Incarnation,
+        store: ConfigurationStore,
+        load: LoadSource,
+    ):
+        self.sender = sender
+        self.service = service
+        self.incarnation = incarnation
+        self.store = store
+        self.load = load
+        self.sequence = 0
+
+    def encode_next(self, wants_answer: bool = False) -> bytes:
+        """Return a heartbeat in wire form, newer than all before it."""
+        self.sequence += 1
+        heartbeat = Heartbeat(
+            self.sender,
+            self.service,
+            self.incarnation.number,
+            self.sequence,
+            self.store.current.version,
+            self.load.current_load(),
+            wants_answer,
+        )
+        return encode_heartbeat(heartbeat)
--- /dev/null
+++ b/chicorycart/membership/monitor.py
@@ -0,0 +1,157 @@
+"""Exchanges heartbeats with the other agents of a service."""
+
+from random import Random
+
+from logbook import Logger
+
+from chicorycart.address import Address
+from chicorycart.address import pack_address
+from chicorycart.address import unpack_address
+from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.defaults import HEARTBEAT_JITTER_SHARE
+from chicorycart.defaults import HEARTBEAT_SECONDS
+from chicorycart.links.datagrams import MessageKind
+from chicorycart.links.datagrams import Sender
+from chicorycart.membership.heartbeats import OwnHeartbeat
+from chicorycart.membership.mates import MateTable
+from chicorycart.membership.messages import decode_heartbeat
+from chicorycart.membership.messages import decode_suspicions
+from chicorycart.membership.messages import NO_SERVICE
+from chicorycart.membership.pauses import PauseDetector
+from chicorycart.membership.reports import Reporter
+
+LOGGER = Logger("membership")
+
+
+class MateMonitor:
+    """Sends and takes an agent's heartbeats.
+
+    Parameters
+    ----------
+    service : str
+        Name of the own service.
+    store : ConfigurationStore
+        Lists the targets of the service.
+    table : MateTable
+        Keeps what is heard.
+    own : OwnHeartbeat
+        Makes the heartbeats.
+    reporter : Reporter
+        Reports the mates that lapse.
+    sender : Sender
+        Sends to other processes.
+    random : Random
+        Varies the time between heartbeats.
+    """
+
+    __slots__ = (
+        "service",
+        "store",
+        "table",
+        "own",
+        "reporter",
+        "sender",
+        "random",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        store: ConfigurationStore,
+        table: MateTable,
+        own: OwnHeartbeat,
+        reporter: Reporter,
+        sender: Sender,
+        random: Random,
+    ):
+        self.service = service
+        self.store = store
+        self.table = table
+        self.own = own
+        self.reporter = reporter
+        self.sender = sender
+        self.random = random
+
+    async def run(self, detector: PauseDetector) -> None:
+        """Exchange heartbeats for as long as the process runs."""
+        detector.subscribe(self.table)
+        detector.subscribe(self.reporter)
+        while True:
+            self.step()
+            jitter = self.random.uniform(-1, 1) * HEARTBEAT_JITTER_SHARE
+            await detector.sleep(HEARTBEAT_SECONDS * (1 + jitter))
+
+    def step(self) -> None:
+        """Let leases lapse, send one heartbeat to each mate and report."""
+        expected = self.list_expected()
+        self.table.expect(expected)
+        self.table.check(expected)
+        body = self.own.encode_next()
+        for agent in self.table.mates:
+            self.sender.send(
+                MessageKind.HEARTBEAT, body, unpack_address(agent)
+            )
+        self.reporter.report()
+
+    def list_expected(self) -> set[int]:
+        """Return the agents of the service, recently replaced included."""
+        current = self.store.current.services.get(self.service)
+        states = self.store.list_replaced(self.service)
+        if current is not None:
+            states.append(current)
+        return {
+            pack_address(target.agent)
+            for state in states
+            for target in state.targets
+        }
+
+    def receive(self, body: bytes, source: Address) -> None:
+        """Take one heartbeat.
+
+        Raises
+        ------
+        MembershipMessageError
+            If it cannot be read or is not credible.
+        """
+        heartbeat = decode_heartbeat(body, source)
+        if heartbeat.wants_answer:
+            self.sender.send(
+                MessageKind.HEARTBEAT, self.own.encode_next(), source
+            )
+        if heartbeat.service == NO_SERVICE:
+            self.reporter.note_answer()
+        else:
+            self.table.hear(heartbeat)
+
+
+class Refuter:
+    """Refutes suspicions of the own process.
+
+    Parameters
+    ----------
+    own : OwnHeartbeat
+        Carries the incarnation, which rises above the suspected one.
+    """
+
+    __slots__ = ("own",)
+
+    def __init__(self, own: OwnHeartbeat):
+        self.own = own
+
+    def receive(self, body: bytes, source: Address) -> None:
+        """Take suspicions, of which only those of the own process matter.
+
+        Raises
+        ------
+        MembershipMessageError
+            If the message cannot be read or is not credible.
+        """
+        for record in decode_suspicions(body, source).records:
+            if record.suspect != self.own.sender or not record.is_suspected:
+                continue
+            if self.own.incarnation.refute(record.incarnation):
+                LOGGER.warning(
+                    "event=refuted by={} incarnation={:x}",
+                    source,
+                    self.own.incarnation.number,
+                )
--- a/chicorycart/membership/sources.py
+++ b/chicorycart/membership/sources.py
@@ -1,47 +1,73 @@
 """Whose system datagrams are taken."""
 
-from asyncio import sleep
+from collections import OrderedDict
+from collections.abc import Iterable
 
-from logbook import Logger
-
-from chicorycart.configuration.errors import ConfigurationError
+from chicorycart.clock import Clock
 from chicorycart.configuration.model import Configuration
-from chicorycart.configuration.platform import PlatformClient
-from chicorycart.defaults import INSTANCES_REFRESH_SECONDS
-
-LOGGER = Logger("membership")
+from chicorycart.defaults import DEPARTED_SOURCE_SECONDS
+from chicorycart.defaults import MAX_DEPARTED_SOURCES
+from chicorycart.membership.instances import Instance
 
 
 class KnownSources:
     """Addresses of instances on the list and of agents in the configuration.
 
-    An address once known stays known, since the list lags: a wrong or old
-    list must not cut anybody off.
+    An address that left both stays known for as long as it is heard, since
+    the list lags and may be wrong, and an agent that left the configuration
+    still owns flows.
+
+    Parameters
+    ----------
+    clock : Clock
+        Ages the addresses that left.
     """
 
-    __slots__ = ("hosts",)
+    __slots__ = ("clock", "listed", "configured", "departed")
 
-    def __init__(self):
-        self.hosts: set[str] = set()
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self.listed: set[str] = set()
+        self.configured: set[str] = set()
+        self.departed: OrderedDict[str, float] = OrderedDict()
 
     def is_known(self, host: str) -> bool:
         """Tell whether an instance of the system has this address."""
-        return host in self.hosts
+        if host in self.listed or host in self.configured:
+            return True
+        heard_at = self.departed.get(host)
+        if heard_at is None:
+            return False
+        now = self.clock.now()
+        if now - heard_at > DEPARTED_SOURCE_SECONDS:
+            del self.departed[host]
+            return False
+        self.departed[host] = now
+        self.departed.move_to_end(host)
+        return True
 
     def change_configuration(self, configuration: Configuration) -> None:
         """Take the agents of a configuration that came into force."""
-        for service in configuration.services.values():
-            self.hosts.update(t.agent.host for t in service.targets)
-
-
-async def follow_instances(
-    client: PlatformClient, sources: KnownSources
-) -> None:
-    """Read the instance list for as long as the process runs."""
-    while True:
-        try:
-            instances = await client.read_instances()
-            sources.hosts.update(i["address"] for i in instances)
-        except ConfigurationError as error:
-            LOGGER.warning("event=list_failed error={!r}", str(error))
-        await sleep(INSTANCES_REFRESH_SECONDS)
+        before = self.configured
+        self.configured = {
+            target.agent.host
+            for service in configuration.services.values()
+            for target in service.targets
+        }
+        self.note_departed(before)
+
+    def change_instances(self, instances: list[Instance]) -> None:
+        """Take the addresses of an instance list."""
+        before = self.listed
+        self.listed = {instance.data.host for instance in instances}
+        self.note_departed(before)
+
+    def note_departed(self, before: Iterable[str]) -> None:
+        """Keep the addresses that are no longer listed, within a bound."""
+        now = self.clock.now()
+        for host in before:
+            if host not in self.listed and host not in self.configured:
+                self.departed[host] = now
+                self.departed.move_to_end(host)
+        while len(self.departed) > MAX_DEPARTED_SOURCES:
+            self.departed.popitem(last=False)
--- /dev/null
+++ b/tests/membership/fleet.py
@@ -0,0 +1,159 @@
+"""Agents of one service and some balancers on a network in memory."""
+
+from random import Random
+
+from prometheus_client import CollectorRegistry
+
+from chicorycart.address import Address
+from chicorycart.address import pack_address
+from chicorycart.agent.membership import AgentMembership
+from chicorycart.balancer.membership import BalancerMembership
+from chicorycart.clock import LoopClock
+from chicorycart.configuration.model import Configuration
+from chicorycart.configuration.model import Entry
+from chicorycart.configuration.model import Service
+from chicorycart.configuration.model import ServiceKind
+from chicorycart.configuration.model import Target
+from chicorycart.configuration.model import TargetState
+from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.membership.incarnation import Incarnation
+from chicorycart.membership.instances import Instance
+from chicorycart.membership.instances import InstanceRole
+from chicorycart.membership.instances import InstanceState
+from chicorycart.membership.pauses import PauseDetector
+from chicorycart.placement.load import Load
+from chicorycart.settings.model import AgentSettings
+from chicorycart.settings.model import DaemonSettings
+from chicorycart.settings.model import LogSettings
+from tests.standins.datagrams import MemoryLink
+from tests.standins.datagrams import MemoryNetwork
+
+DOMAINS = "abc"
+DATA_PORT = 7001
+SERVICE = "dispatch"
+
+
+class FixedLoad:
+    """A load that a test sets."""
+
+    def __init__(self, in_progress):
+        self.in_progress = in_progress
+
+    def current_load(self):
+        """Return the load that was set."""
+        return Load(self.in_progress, 0, 2.0)
+
+
+class Node:
+    """One process: its link and its membership."""
+
+    def __init__(self, link, membership):
+        self.link = link
+        self.membership = membership
+        self.task = membership.start()
+
+
+class Fleet:
+    """Runs the real classes; every process can be killed or paused."""
+
+    def __init__(self, agents, balancers, seed=1):
+        self.random = Random(seed)
+        self.network = MemoryNetwork(self.random)
+        self.clock = LoopClock()
+        self.targets = {
+            f"t-{number}": Target(
+                f"t-{number}",
+                Address(f"192.0.2.{number}", DATA_PORT),
+                DOMAINS[number % len(DOMAINS)],
+                1.0,
+                2,
+                TargetState.ACTIVE,
+            )
+            for number in range(1, agents + 1)
+        }
+        self.balancers = {
+            f"b-{number}": Instance(
+                f"b-{number}",
+                InstanceRole.BALANCER,
+                Address(f"198.51.100.{number}", DATA_PORT),
+                Address(f"198.51.100.{number}", DATA_PORT + 1),
+                "riga",
+                DOMAINS[number % len(DOMAINS)],
+                InstanceState.LIVE,
+            )
+            for number in range(1, balancers + 1)
+        }
+        self.starts = 0
+        self.nodes = {}
+
+    def start_all(self):
+        """Start every process."""
+        for name in (*self.targets, *self.balancers):
+            self.start(name)
+
+    def start(self, name, started_seconds=None):
+        """Start a process, again if it ran before."""
+        self.starts += 1
+        agent = self.targets.get(name)
+        instance = agent or self.balancers[name]
+        address = agent.agent if agent else instance.data
+        daemon = DaemonSettings(
+            name, "riga", instance.domain, address, address, [], LogSettings()
+        )
+        link = MemoryLink(self.network, address)
+        store = ConfigurationStore(self.clock)
+        store.put_in_force(self.configure(1, self.targets.values()))
+        incarnation = Incarnation(started_seconds or self.starts)
+        detector = PauseDetector(self.clock, link.sleep)
+        common = (link, incarnation, detector, self.random)
+        if agent:
+            settings = AgentSettings(
+                daemon, SERVICE, name, address, address, None
+            )
+            membership = AgentMembership(
+                settings, self.clock, store, FixedLoad(7), *common
+            )
+        else:
+            membership = BalancerMembership(
+                daemon, self.clock, store, *common, CollectorRegistry()
+            )
+        membership.balancers.change_instances(list(self.balancers.values()))
+        self.nodes[name] = Node(link, membership)
+
+    def configure(self, version, targets):
+        """Return a configuration with the one service."""
+        entry = Entry(Address("203.0.113.1", 80), 6)
+        service = Service(SERVICE, entry, ServiceKind.PACKET, tuple(targets))
+        return Configuration(version, {SERVICE: service})
+
+    def kill(self, name):
+        """End a process without warning."""
+        node = self.nodes.pop(name)
+        node.task.cancel()
+        self.network.links.pop(node.link.address)
+
+    def mates_of(self, name):
+        """Return what an agent knows of its mates."""
+        return self.nodes[name].membership.mates
+
+    def mate(self, name, other):
+        """Return what an agent knows of one mate."""
+        return self.mates_of(name).mates.get(self.pack(other))
+
+    def pack(self, name):
+        """Return the packed address of an agent."""
+        return pack_address(self.targets[name].agent)
+
+    def suspects_of(self, balancer):
+        """Return the names of the agents that a balancer suspects."""
+        book = self.nodes[balancer].membership.suspicions
+        return {n for n, t in self.targets.items() if book.is_suspected(t)}
+
+    def live_balancers(self):
+        """Return the names of the balancers that run."""
+        return [name for name in self.balancers if name in self.nodes]
+
+    def close(self):
+        """End every process."""
+        for name in list(self.nodes):
+            self.kill(name)
--- /dev/null
+++ b/tests/membership/suspicion_steps.py
@@ -0,0 +1,311 @@
+"""Steps on heartbeats and suspicions."""
+
+from asyncio import get_running_loop
+from asyncio import sleep
+
+from behave import given
+from behave import then
+from behave import when
+
+from chicorycart.balancer.forwarding import ChainCache
+from chicorycart.configuration.model import hash_name
+from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.links.datagrams import MessageKind
+from chicorycart.membership.mates import MateChange
+from chicorycart.membership.messages import encode_heartbeat
+from chicorycart.membership.messages import Heartbeat
+from chicorycart.placement.load import Load
+from tests.membership.fleet import Fleet
+from tests.membership.fleet import SERVICE
+
+SETTLE_SECONDS = 5
+STEP_SECONDS = 0.1
+PAST_SECONDS = 0.5
+BUCKETS = 64
+
+
+class Watch:
+    """Notes the changes of mates and suspicions."""
+
+    def __init__(self, fleet, name):
+        self.changes = []
+        self.suspicions = 0
+        membership = fleet.nodes[name].membership
+        if name in fleet.targets:
+            membership.mates.subscribe(self)
+        else:
+            membership.suspicions.subscribe(self)
+
+    def change_mate(self, mate, change):
+        self.changes.append((mate.agent, change))
+
+    def clear(self):
+        self.suspicions += 1
+
+
+def run_for(context, seconds):
+    context.run(sleep(seconds))
+
+
+def wait_until(context, condition, seconds):
+    async def poll():
+        for _ in range(round(seconds / STEP_SECONDS)):
+            if condition():
+                return
+            await sleep(STEP_SECONDS)
+        assert condition(), f"not so within {seconds} s"
+
+    context.run(poll())
+
+
+def all_suspect(context, names):
+    fleet = context.fleet
+    return all(fleet.suspects_of(b) == names for b in fleet.live_balancers())
+
+
+def call(context, function, *arguments):
+    async def run():
+        return function(*arguments)
+
+    return context.run(run())
+
+
+@given(
+    "{agents:d} agents of one service and {balancers:d} balancers that"
+    " know each other"
+)
+def start_fleet(context, agents, balancers):
+    context.fleet = Fleet(agents, balancers)
+    call(context, context.fleet.start_all)
+    context.cleanups.callback(call, context, context.fleet.close)
+    run_for(context, SETTLE_SECONDS)
+    context.watches = {
+        name: Watch(context.fleet, name) for name in context.fleet.nodes
+    }
+    chains = call(context, list_chains, context.fleet, "b-1")
+    context.chains_before = {
+        name: sum(context.fleet.pack(name) in chain for chain in chains)
+        for name in context.fleet.targets
+    }
+    check_no_suspect(context, STEP_SECONDS)
+
+
+@when('agent "{name}" is killed')
+def kill(context, name):
+    call(context, context.fleet.kill, name)
+
+
+@when("every agent is killed")
+def kill_all(context):
+    for name in context.fleet.targets.keys() & context.fleet.nodes.keys():
+        kill(context, name)
+
+
+@when('agent "{name}" starts again')
+def start_again(context, name):
+    call(context, context.fleet.start, name)
+
+
+@when('agent "{name}" starts again with a clock that went back')
+def start_back(context, name):
+    call(context, context.fleet.start, name, PAST_SECONDS)
+
+
+@when("{seconds:d} s pass")
+def let_pass(context, seconds):
+    run_for(context, seconds)
+
+
+@when('agent "{name}" is paused for {seconds:d} s')
+@when('balancer "{name}" is paused for {seconds:d} s')
+def pause(context, name, seconds):
+    link = context.fleet.nodes[name].link
+    link.pause()
+    call(context, wake_later, link, seconds)
+
+
+def wake_later(link, seconds):
+    get_running_loop().call_later(seconds, link.wake)
+
+
+@when('agent "{name}" is cut off from all others')
+def cut_off(context, name):
+    context.fleet.network.sides[context.fleet.targets[name].agent] = 1
+
+
+@when('agent "{name}" is cut off from the other agents only')
+def cut_from_agents(context, name):
+    own = context.fleet.targets[name].agent
+    for target in context.fleet.targets.values():
+        pairs = {(own, target.agent), (target.agent, own)}
+        context.fleet.network.severed |= pairs
+
+
+@when('failure domain "{domain}" is cut off from the others')
+def cut_domain(context, domain):
+    fleet = context.fleet
+    context.beyond = {
+        name for name, t in fleet.targets.items() if t.domain == domain
+    }
+    context.inside = {
+        name for name, b in fleet.balancers.items() if b.domain == domain
+    }
+    for name in context.beyond | context.inside:
+        fleet.network.sides[fleet.nodes[name].link.address] = 1
+
+
+@when("the cut heals")
+def heal(context):
+    context.fleet.network.sides.clear()
+
+
+@when("datagrams come {copies:d} times and up to {seconds:d} s late")
+def disorder(context, copies, seconds):
+    context.fleet.network.copies = copies
+    context.fleet.network.jitter_seconds = float(seconds)
+
+
+@when('"{name}" sends heartbeats that cannot be true')
+def send_lies(context, name):
+    fleet = context.fleet
+    own = fleet.pack(name)
+    other = fleet.pack("t-3")
+    service = hash_name(SERVICE)
+    loads = [Load(0, 0, 0.0), Load(0, 0, float("nan")), Load(0, 0, -1.0)]
+    context.lies = [
+        encode_heartbeat(Heartbeat(own, service, 1 << 60, 1, 1, load))
+        for load in loads
+    ]
+    spoken_for = Heartbeat(other, service, 1 << 60, 1, 1, Load(0, 0, 1.0))
+    context.lies.append(encode_heartbeat(spoken_for))
+    context.lies.append(b"not a heartbeat")
+    for lie in context.lies:
+        call(
+            context,
+            fleet.nodes[name].link.send,
+            MessageKind.HEARTBEAT,
+            lie,
+            fleet.targets["t-2"].agent,
+        )
+    run_for(context, STEP_SECONDS)
+
+
+@then("each of them is refused and changes nothing")
+def check_lies(context):
+    assert context.fleet.nodes["t-2"].link.refused == len(context.lies)
+    assert context.fleet.mate("t-2", "t-1").incarnation < 1 << 60
+    assert context.fleet.mate("t-2", "t-3").incarnation < 1 << 60
+
+
+@then('its mates suspect "{name}" within {seconds:d} s')
+def check_mates(context, name, seconds):
+    mates = [n for n in list_agents(context) if n != name]
+    target = context.fleet.targets[name]
+    assert mates
+    wait_until(
+        context,
+        lambda: all(
+            context.fleet.mates_of(mate).is_suspected(target) for mate in mates
+        ),
+        seconds,
+    )
+
+
+@then('no mate knows a load of "{name}"')
+def check_no_load(context, name):
+    for mate in list_agents(context):
+        table = context.fleet.mates_of(mate)
+        loads = {
+            other: call(context, table.load_of, context.fleet.pack(other))
+            for other in context.fleet.targets
+            if other != mate
+        }
+        assert loads.pop(name) is None
+        assert all(load.in_progress == 7 for load in loads.values())
+
+
+@then('every balancer suspects only "{name}" within {seconds:d} s')
+def check_only_suspect(context, name, seconds):
+    wait_until(context, lambda: all_suspect(context, {name}), seconds)
+
+
+@then("no balancer suspects anybody within {seconds:d} s")
+def check_no_suspect(context, seconds):
+    wait_until(context, lambda: all_suspect(context, set()), seconds)
+
+
+@then("no balancer suspected anybody")
+def check_never_suspected(context):
+    for name in context.fleet.balancers:
+        assert context.watches[name].suspicions == 0, name
+
+
+@then('"{name}" suspected none of its mates')
+def check_no_accusation(context, name):
+    changes = [change for _, change in context.watches[name].changes]
+    assert MateChange.LAPSED not in changes, changes
+
+
+@then('"{name}" reported nothing')
+def check_no_report(context, name):
+    link = context.fleet.nodes[name].link
+    assert link.kinds[MessageKind.HEARTBEAT] > 0
+    assert link.kinds[MessageKind.SUSPICION] == 0
+
+
+@then('its mates saw "{name}" restart once')
+def check_restart(context, name):
+    restarted = (context.fleet.pack(name), MateChange.RESTARTED)
+    mates = [n for n in list_agents(context) if n != name]
+    assert mates
+    for mate in mates:
+        changes = context.watches[mate].changes
+        assert changes.count(restarted) == 1, changes
+
+
+@then("no mate was seen to restart")
+def check_no_restart(context):
+    for name in list_agents(context):
+        changes = [change for _, change in context.watches[name].changes]
+        assert MateChange.RESTARTED not in changes
+
+
+@then('"{name}" stands at the end of chains but in each of them')
+def check_chains(context, name):
+    for balancer in context.fleet.live_balancers():
+        chains = call(context, list_chains, context.fleet, balancer)
+        own = context.fleet.pack(name)
+        with_suspect = [chain for chain in chains if own in chain]
+        assert len(with_suspect) == context.chains_before[name]
+        assert all(chain[-1] == own for chain in with_suspect)
+
+
+@then("every balancer suspects the agents beyond the cut, and only those")
+def check_sides(context):
+    fleet = context.fleet
+    for name in fleet.balancers:
+        beyond = context.beyond
+        if name in context.inside:
+            beyond = fleet.targets.keys() - context.beyond
+        assert call(context, fleet.suspects_of, name) == beyond, name
+
+
+@then("every target stands in a chain of every balancer")
+def check_kept(context):
+    for balancer in context.fleet.balancers:
+        chains = call(context, list_chains, context.fleet, balancer)
+        found = {agent for chain in chains for agent in chain}
+        assert found == {context.fleet.pack(n) for n in context.fleet.targets}
+
+
+def list_agents(context):
+    return [n for n in context.fleet.targets if n in context.fleet.nodes]
+
+
+def list_chains(fleet, balancer):
+    store = ConfigurationStore(fleet.clock)
+    store.put_in_force(fleet.configure(1, fleet.targets.values()))
+    suspicions = fleet.nodes[balancer].membership.suspicions
+    cache = ChainCache(store, suspicions)
+    service = store.current.services[SERVICE]
+    return [cache.find(service, bucket) for bucket in range(BUCKETS)]
