--- a/chicorycart/membership/mates.py
+++ b/chicorycart/membership/mates.py
@@ -167,7 +167,6 @@
         for mate in list(self.mates.values()):
             if mate.state is not MateState.LAPSED and mate.expiry <= now:
                 mate.state = MateState.LAPSED
-                mate.load = None
                 self.announce(mate, MateChange.LAPSED)
             silent = now - mate.expiry
             if mate.agent not in expected and silent > DEPARTED_MATE_SECONDS:
--- a/tests/membership/suspicion.feature
+++ b/tests/membership/suspicion.feature
@@ -39,7 +39,9 @@
     And 20 s pass
     Then every balancer suspects only "t-2" within 1 s
     When every agent is killed
-    Then no balancer suspects anybody within 60 s
+    And 180 s pass
+    Then no balancer suspects anybody within 1 s
+    And no balancer keeps a record, and each told that suspicions lapsed
 
   Scenario: The only mate of a dead agent is believed
     Given 2 agents of one service and 9 balancers that know each other
@@ -62,13 +64,49 @@
     Then its mates suspect "t-1" within 1 s
     And no balancer suspected anybody
 
-  Scenario: A paused agent that wakes up late accuses nobody
+  Scenario: An agent that only balancers reach again refutes at once
+    Given 5 agents of one service and 9 balancers that know each other
+    When agent "t-1" is cut off from all others
+    And 20 s pass
+    And the cut heals
+    And agent "t-1" is cut off from the other agents only
+    Then no balancer suspects anybody within 12 s
+
+  Scenario: Late copies of suspicions do not bring them back
+    Given 5 agents of one service and 9 balancers that know each other
+    When all datagrams are recorded
+    And 5 s pass
+    And agent "t-2" is killed
+    And 10 s pass
+    And agent "t-2" starts again
+    And 10 s pass
+    And all recorded datagrams arrive once more
+    Then no balancer suspects anybody within 1 s
+    And its mates saw "t-2" restart once
+
+  Scenario: Late copies of a lapsed suspicion do not bring it back
     Given 5 agents of one service and 9 balancers that know each other
-    When agent "t-1" is paused for 20 s
+    When all datagrams are recorded
+    And agent "t-2" is killed
+    And 10 s pass
+    And every agent is killed
+    Then no balancer suspects anybody within 60 s
+    When all recorded datagrams among balancers arrive once more
+    And 2 s pass
+    Then no balancer suspects anybody within 1 s
+
+  Scenario Outline: A paused agent that wakes up late accuses nobody
+    Given 5 agents of one service and 9 balancers that know each other
+    When agent "t-1" is paused for 20 s and <reads> what was sent to it
     And 30 s pass
     Then "t-1" suspected none of its mates
     And no balancer suspects anybody within 10 s
 
+    Examples:
+      | reads |
+      | reads |
+      | loses |
+
   Scenario: A paused balancer that wakes up late drops old suspicions
     Given 5 agents of one service and 9 balancers that know each other
     When balancer "b-1" is paused for 60 s
--- a/tests/membership/suspicion_steps.py
+++ b/tests/membership/suspicion_steps.py
@@ -116,16 +116,51 @@
     run_for(context, seconds)
 
 
-@when('agent "{name}" is paused for {seconds:d} s')
+@when(
+    'agent "{name}" is paused for {seconds:d} s and {reads} what was sent'
+    " to it"
+)
+def pause_agent(context, name, seconds, reads):
+    pause(context, name, seconds, reads == "loses")
+
+
 @when('balancer "{name}" is paused for {seconds:d} s')
-def pause(context, name, seconds):
+def pause_balancer(context, name, seconds):
+    pause(context, name, seconds, False)
+
+
+def pause(context, name, seconds, is_deaf):
     link = context.fleet.nodes[name].link
     link.pause()
-    call(context, wake_later, link, seconds)
+    call(context, wake_later, link, seconds, is_deaf)
+
+
+def wake_later(link, seconds, is_deaf):
+    get_running_loop().call_later(seconds, link.wake, is_deaf)
+
 
+@when("all datagrams are recorded")
+def record(context):
+    context.fleet.network.is_recorded = True
 
-def wake_later(link, seconds):
-    get_running_loop().call_later(seconds, link.wake)
+
+@when("all recorded datagrams arrive once more")
+def replay(context):
+    context.fleet.network.is_recorded = False
+    assert context.fleet.network.journal
+    call(context, context.fleet.network.replay)
+
+
+@when("all recorded datagrams among balancers arrive once more")
+def replay_gossip(context):
+    network = context.fleet.network
+    balancers = {b.data for b in context.fleet.balancers.values()}
+    network.journal = [
+        datagram
+        for datagram in network.journal
+        if balancers.issuperset(datagram[2:])
+    ]
+    replay(context)
 
 
 @when('agent "{name}" is cut off from all others')
@@ -240,6 +275,17 @@
         assert context.watches[name].suspicions == 0, name
 
 
+@then("no balancer keeps a record, and each told that suspicions lapsed")
+def check_forgotten(context):
+    for name in context.fleet.balancers:
+        book = context.fleet.nodes[name].membership.suspicions
+        assert not book.records, name
+        assert not book.fresh, name
+        told = context.watches[name].suspicions
+        assert told >= 2, told
+        assert told % 2 == 0, told
+
+
 @then('"{name}" suspected none of its mates')
 def check_no_accusation(context, name):
     changes = [change for _, change in context.watches[name].changes]
--- a/tests/standins/datagrams.py
+++ b/tests/standins/datagrams.py
@@ -24,6 +24,8 @@
         Sides of a partition; datagrams between two sides are lost.
     severed : set of tuple of Address
         Pairs of source and destination whose datagrams are lost.
+    journal : list
+        Every datagram sent while ``is_recorded`` is set.
     copies : int
         How often each datagram arrives.
     delay_seconds, jitter_seconds : float
@@ -35,12 +37,16 @@
         self.links: dict[Address, MemoryLink] = {}
         self.sides: dict[Address, int] = {}
         self.severed: set[tuple[Address, Address]] = set()
+        self.is_recorded = False
+        self.journal = []
         self.copies = 1
         self.delay_seconds = 0.001
         self.jitter_seconds = 0.0
 
     def carry(self, kind, body, source, destination):
         """Deliver a datagram unless it is lost."""
+        if self.is_recorded:
+            self.journal.append((kind, body, source, destination))
         if (source, destination) in self.severed:
             return
         if self.sides.get(source, 0) != self.sides.get(destination, 0):
@@ -56,6 +62,11 @@
                 destination,
             )
 
+    def replay(self):
+        """Deliver every recorded datagram once more."""
+        for datagram in self.journal:
+            self.deliver(*datagram)
+
     def deliver(self, kind, body, source, destination):
         """Hand a datagram to its link, if that is still there."""
         if destination in self.links:
@@ -116,9 +127,12 @@
         """Stop the process."""
         self.running.clear()
 
-    def wake(self):
-        """Let the process go on; it reads what has arrived meanwhile."""
+    def wake(self, is_deaf=False):
+        """Let the process go on and read what has arrived meanwhile.
+
+        A deaf one finds nothing, as if its buffers had been too small.
+        """
         self.running.set()
         waiting, self.waiting = self.waiting, []
-        for message in waiting:
+        for message in [] if is_deaf else waiting:
             self.take(*message)
