--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -13,11 +13,18 @@
 from chicorycart.agent.host import DecapsulatingHost
 from chicorycart.agent.load import FlowLoad
 from chicorycart.agent.membership import AgentMembership
+from chicorycart.agent.pages import list_pages
 from chicorycart.clock import LoopClock
-from chicorycart.configuration.follow import follow_platform
+from chicorycart.configuration.backoff import Backoff
+from chicorycart.configuration.follow import PlatformReader
+from chicorycart.configuration.metrics import ConfigurationMetrics
 from chicorycart.configuration.model import hash_name
+from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.platform import PlatformClient
 from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.configuration.values import HttpValues
+from chicorycart.defaults import READER_CALLS_BURST
+from chicorycart.defaults import READER_CALLS_PER_SECOND
 from chicorycart.flows.openings import OpeningMemory
 from chicorycart.flows.table import FlowTable
 from chicorycart.links.datagrams import DatagramLink
@@ -29,7 +36,8 @@
 from chicorycart.membership.sources import KnownSources
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.operation.endpoints import serve_endpoints
-from chicorycart.requests.gateway import serve_requests
+from chicorycart.requests.build import build_gateway
+from chicorycart.requests.server import RequestServer
 from chicorycart.settings.model import AgentSettings
 
 
@@ -76,13 +84,36 @@
             PauseDetector(clock),
             Random(),
         )
-        self.platform = PlatformClient(daemon.platform)
+        self.platform = PlatformClient(
+            HttpValues(daemon.platform),
+            TokenBucket(clock, READER_CALLS_PER_SECOND, READER_CALLS_BURST),
+        )
+        self.reader = PlatformReader(
+            self.platform,
+            self.store,
+            self.store.put_in_force,
+            Backoff(Random()),
+            ConfigurationMetrics(self.registry),
+        )
         self.instances = InstanceFollower(
             self.platform, Random(), self.registry
         )
         self.instances.subscribe(self.sources)
         self.instances.subscribe(self.membership.balancers)
         self.stopping = False
+        self.requests: RequestServer | None = None
+        if settings.gateway is not None:
+            gateway = build_gateway(
+                settings,
+                self.store,
+                self.sources,
+                self.membership.mates,
+                clock,
+                Random(),
+                self.registry,
+            )
+            self.membership.use_load(gateway)
+            self.requests = RequestServer(gateway)
 
     def is_ready(self) -> bool:
         """Tell whether a configuration is in force and no stop began."""
@@ -90,6 +121,7 @@
 
     def describe_status(self) -> dict[str, Any]:
         """Return name, role, version in force and owned flows."""
+        self.table.expire()
         return {
             "name": self.settings.daemon.name,
             "role": "agent",
@@ -107,19 +139,20 @@
     async def run(self, stop: Event) -> None:
         """Serve until the event is set."""
         daemon = self.settings.daemon
-        servers = [serve_endpoints(daemon.control, self.registry, self)]
-        if self.settings.gateway is not None:
-            servers.append(
-                serve_requests(self.settings.gateway, self.settings.backend)
-            )
+        pages = list_pages(self.settings.target, self.table)
+        servers = [serve_endpoints(daemon.control, self.registry, self, pages)]
+        if self.requests is not None:
+            self.requests.listen(self.settings.gateway)
         tasks = [
-            create_task(follow_platform(self.platform, self.store, Random())),
             create_task(self.instances.run()),
             self.membership.start(),
+            create_task(self.reader.watch_forever()),
         ]
         self.data_socket.start(self.link)
         await stop.wait()
         self.stopping = True
+        if self.requests is not None:
+            await self.requests.stop(self.settings.stop_seconds)
         for task in tasks:
             task.cancel()
         for server in servers:
--- a/chicorycart/agent/membership.py
+++ b/chicorycart/agent/membership.py
@@ -78,6 +78,10 @@
         link.register(MessageKind.HEARTBEAT, self.monitor)
         link.register(MessageKind.SUSPICION, Refuter(own))
 
+    def use_load(self, load: LoadSource) -> None:
+        """Tell the mates the load that another source knows."""
+        self.monitor.own.load = load
+
     def start(self) -> Task[None]:
         """Begin to exchange heartbeats."""
         return create_task(self.monitor.run(self.detector))
--- a/chicorycart/balancer/membership.py
+++ b/chicorycart/balancer/membership.py
@@ -8,12 +8,12 @@
 
 from chicorycart.address import pack_address
 from chicorycart.clock import Clock
+from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.defaults import GOSSIP_BURST_BYTES
 from chicorycart.defaults import GOSSIP_BYTES_PER_SECOND
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import MessageLink
-from chicorycart.membership.budget import TokenBucket
 from chicorycart.membership.evidence import Evidence
 from chicorycart.membership.gossip import Gossip
 from chicorycart.membership.heartbeats import NoLoad
--- a/chicorycart/membership/gossip.py
+++ b/chicorycart/membership/gossip.py
@@ -7,13 +7,13 @@
 from prometheus_client import Gauge
 
 from chicorycart.address import Address
+from chicorycart.configuration.pace import TokenBucket
 from chicorycart.defaults import DATAGRAM_HEADER_BYTES
 from chicorycart.defaults import GOSSIP_RECORDS
 from chicorycart.defaults import GOSSIP_SECONDS
 from chicorycart.defaults import HEARTBEAT_JITTER_SHARE
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Sender
-from chicorycart.membership.budget import TokenBucket
 from chicorycart.membership.evidence import Evidence
 from chicorycart.membership.messages import decode_suspicions
 from chicorycart.membership.messages import encode_suspicions
@@ -115,7 +115,8 @@
 
     def send_to(self, peer: Address) -> None:
         """Send as many records as the budget allows."""
-        room = self.bucket.available() - MESSAGE_BYTES
+        self.bucket.refill()
+        room = self.bucket.level - MESSAGE_BYTES
         count = min(GOSSIP_RECORDS, int(room // RECORD_BYTES))
         if count <= 0:
             return
@@ -123,7 +124,7 @@
         if not records:
             return
         size = MESSAGE_BYTES + len(records) * RECORD_BYTES
-        self.bucket.spend(size)
+        self.bucket.try_take(size)
         self.bytes_sent.inc(size)
         message = SuspicionMessage(self.own, False, records)
         body = encode_suspicions(message)
