Rename a step that two slices had, and bound every wait of a real scenario

Cause: '{n} s pass' stood in placement and membership; the wrong one slept 600 real seconds, so a whole run stopped there (traced with faulthandler). Ruled out: a fault in the strength meter.

--- a/tests/environment.py
+++ b/tests/environment.py
@@ -2,6 +2,7 @@
 
 from asyncio import Runner
 from asyncio import SelectorEventLoop
+from asyncio import wait_for
 from contextlib import ExitStack
 import random
 
@@ -9,6 +10,8 @@
 
 from tests.standins.virtual import VirtualLoop
 
+REAL_SECONDS = 60.0
+
 settings.register_profile(
     "ci", derandomize=True, database=None, deadline=None, max_examples=200
 )
@@ -19,7 +22,8 @@
     """Give each scenario its own seed, event loop and clean-ups.
 
     Scenarios tagged ``virtual`` run on virtual time. ``context.run`` runs a
-    coroutine to its end; ``context.cleanups`` is an ``ExitStack``.
+    coroutine to its end, for a bounded time if that is real;
+    ``context.cleanups`` is an ``ExitStack``.
     """
     random.seed(1)
     is_virtual = "virtual" in scenario.effective_tags
@@ -27,7 +31,8 @@
     runner = Runner(loop_factory=factory)
     context.cleanups = ExitStack()
     context.cleanups.callback(runner.close)
-    context.run = runner.run
+    limit = None if is_virtual else REAL_SECONDS
+    context.run = lambda work: runner.run(wait_for(work, limit))
 
 
 def after_scenario(context, scenario):
--- a/tests/placement/strength.feature
+++ b/tests/placement/strength.feature
@@ -8,14 +8,14 @@
   Scenario: Idle periods change nothing
     Given a target of 4 slots that is assumed to end 1 work a second
     When 50 works of 0.2 s end
-    And 600 s pass
+    And its clock moves on by 600 s
     And 50 works of 0.2 s end
     Then its strength is between 19.9 and 20.1
 
   Scenario: One slow spell changes the strength by a bounded step
     Given a target of 4 slots that is assumed to end 1 work a second
     When 10 works of 0.2 s end
-    And 20 s pass
+    And its clock moves on by 20 s
     And 50 works of 8 s end
     Then its strength is between 15.9 and 16.1
 
@@ -28,16 +28,16 @@
   Scenario: A feed that stays open says nothing of the speed
     Given a target of 4 slots that is assumed to end 1 work a second
     When 50 works of 0.2 s end
-    And 20 s pass
+    And its clock moves on by 20 s
     And 50 works of 3600 s end
     Then its strength is between 19.9 and 20.1
 
   Scenario: A new target reports its strength little by little
     Given a target of 4 slots that is assumed to end 20 works a second
     Then it reports between 1.9 and 2.1
-    When 15 s pass
+    When its clock moves on by 15 s
     Then it reports between 11.9 and 12.1
-    When 15 s pass
+    When its clock moves on by 15 s
     Then it reports between 19.9 and 20.1
 
   Scenario: An unmeasured target takes its scale from its mates
--- a/tests/placement/strength_steps.py
+++ b/tests/placement/strength_steps.py
@@ -60,7 +60,7 @@
         end_works(context, count, seconds)
 
 
-@when("{seconds:g} s pass")
+@when("its clock moves on by {seconds:g} s")
 def pass_time(context, seconds):
     context.clock.time += seconds
 
