Test that drain and stop cut off no request

A kept connection to a leaving or stopping gateway gets its next request answered by a mate and then closes; requests in progress end by themselves; SIGTERM to all real agents of a service lets a download end, exit code 0.

--- /dev/null
+++ b/tests/requests/drain_steps.py
@@ -0,0 +1,130 @@
+"""Steps that drain targets and stop gateways."""
+
+from asyncio import create_task
+from asyncio import sleep
+from asyncio import wait_for
+from signal import SIGTERM
+
+from behave import then
+from behave import when
+
+from tests.standins.caller import build_request
+from tests.standins.caller import connect
+from tests.standins.world import STOP_SECONDS
+
+PATH = "/bookings/1"
+ARRIVAL_SECONDS = 10
+
+
+async def begin(context, number):
+    gateway = context.pool.plan.hosts[number - 1].gateway
+    context.kept = await connect(gateway)
+    context.connections.append(context.kept)
+    context.heard = []
+    await context.kept.send(build_request(PATH))
+
+
+async def hear(context):
+    context.heard.append(await context.kept.hear())
+
+
+@when("a caller books over a kept connection to gateway {number:d}")
+def book(context, number):
+    context.run(begin(context, number))
+    context.run(hear(context))
+
+
+@when("the caller books over the kept connection")
+def book_again(context):
+    context.run(context.kept.send(build_request(PATH)))
+    context.run(hear(context))
+
+
+@when("a caller begins a booking over a kept connection to gateway {number:d}")
+def begin_booking(context, number):
+    async def arrive():
+        await begin(context, number)
+        target = context.pool.targets[number - 1]
+        await wait_for(target.has_run.wait(), ARRIVAL_SECONDS)
+
+    context.run(arrive())
+
+
+@when("target {number:d} is draining")
+def drain(context, number):
+    async def publish():
+        context.pool.drain(number - 1)
+
+    context.run(publish())
+
+
+@when("gateway {number:d} begins to stop")
+def stop(context, number, seconds=None):
+    async def begin_stop():
+        server = context.pool.servers[number - 1]
+        context.stop = create_task(server.stop(seconds))
+        await sleep(0)
+
+    context.run(begin_stop())
+
+
+@when("gateway {number:d} begins to stop with a bound of {seconds:g} s")
+def stop_within(context, number, seconds):
+    stop(context, number, seconds)
+
+
+@when('every agent of "{service}" is told to stop')
+def stop_agents(context, service):
+    world = context.world
+    names = [n for n in world.processes if n.startswith(f"{service}-")]
+    for name in names:
+        world.signal(name, SIGTERM)
+    context.stopped = [world.processes[name] for name in names]
+
+
+@then('the kept connection heard "{told}"')
+def check_heard(context, told):
+    expected = told.split(", ")
+    if len(context.heard) < len(expected):
+        context.run(hear(context))
+    assert [a.told for a in context.heard] == expected, [
+        a.told for a in context.heard
+    ]
+
+
+@then('the targets ran "{counts}" bookings')
+def check_counts(context, counts):
+    ran = [target.runs[PATH] for target in context.pool.targets]
+    assert ran == [int(count) for count in counts.split()], ran
+
+
+@then("the last answer says that the connection closes")
+def check_close(context):
+    assert context.heard[-1].field("Connection") == "close"
+
+
+@then("gateway {number:d} takes no opening flows")
+def check_no_openings(context, number):
+    async def ask():
+        return context.pool.servers[number - 1].gateway.current_load()
+
+    assert not context.run(ask()).takes_new_work
+
+
+@then("gateway {number:d} stops")
+def check_stops(context, number):
+    async def stopped():
+        await wait_for(context.stop, STOP_SECONDS)
+
+    context.run(stopped())
+
+
+@then("every stopped agent exits with {code:d}")
+def check_exit(context, code):
+    async def exits():
+        return [
+            await wait_for(process.wait(), STOP_SECONDS)
+            for process in context.stopped
+        ]
+
+    assert set(context.run(exits())) == {code}
--- a/tests/requests/mates.feature
+++ b/tests/requests/mates.feature
@@ -16,6 +16,7 @@
     Given 3 gateways with 1 slots
     And target 1 "hangs before running"
     When a caller falls silent after "GET /first HTTP/1.1~~"
+    And a request hangs at target 1
     And instance 2 forwards a booking to gateway 1
     Then the answers are "503 not-run"
     And the bookings ran 0 times
@@ -45,5 +46,6 @@
     Given 1 gateway with 1 slots
     And target 1 "hangs before running"
     When a caller falls silent after "GET /first HTTP/1.1~~"
+    And a request hangs at target 1
     And a caller books 1 times with 50 ms each at gateway 1
     Then the answers are "503 not-run"
--- a/tests/requests/mates_steps.py
+++ b/tests/requests/mates_steps.py
@@ -1,5 +1,6 @@
 """Steps that forward requests between gateways."""
 
+from asyncio import wait_for
 from time import time
 
 from behave import given
@@ -13,6 +14,7 @@
 
 PATH = "/bookings/1"
 AHEAD_SECONDS = 20
+ARRIVAL_SECONDS = 10
 OUTSIDER = "127.0.0.1"
 
 
@@ -42,6 +44,12 @@
     context.run(silent.set_fault(Fault.HANG_BEFORE_RUN))
 
 
+@when("a request hangs at target {number:d}")
+def wait_hanging(context, number):
+    hanging = context.pool.targets[number - 1].is_hanging
+    context.run(wait_for(hanging.wait(), ARRIVAL_SECONDS))
+
+
 @when("instance {source:d} forwards a booking to gateway {number:d}")
 def forward_once(context, source, number):
     forward(context, number, host(context, source))
--- a/tests/standins/faulty.py
+++ b/tests/standins/faulty.py
@@ -62,8 +62,8 @@
         The requests as they came, without their bodies.
     cancelled : int
         Requests whose connection was closed while the target hung.
-    is_hanging : Event
-        Set once a request hangs.
+    has_run, is_hanging : Event
+        Set once a request was run, or hangs.
     canned : bytes
         What a request is answered with if nothing fails.
     """
@@ -74,6 +74,7 @@
         self.runs: Counter[str] = Counter()
         self.heads: list[str] = []
         self.cancelled = 0
+        self.has_run = Event()
         self.is_hanging = Event()
         self.canned = WHOLE
         self.server = None
@@ -121,6 +122,7 @@
             await self.hang(reader)
             return
         self.runs[head.split()[1]] += 1
+        self.has_run.set()
         await self.answer(reader, writer)
 
     async def answer(self, reader: StreamReader, writer: StreamWriter) -> None:
