--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -3,22 +3,29 @@
 from asyncio import create_task
 from asyncio import Event
 from random import Random
+from time import time_ns
 from typing import Any
 
 from prometheus_client import CollectorRegistry
 
+from chicorycart.address import pack_address
 from chicorycart.agent.acceptance import TargetAcceptance
-from chicorycart.agent.delivery import Delivery
 from chicorycart.agent.host import DecapsulatingHost
+from chicorycart.agent.kernel import KernelConnections
+from chicorycart.agent.ownership import FlowOwnership
+from chicorycart.agent.pages import list_pages
 from chicorycart.clock import LoopClock
-from chicorycart.configuration.follow import follow_platform
-from chicorycart.configuration.model import hash_name
+from chicorycart.configuration.backoff import Backoff
+from chicorycart.configuration.follow import PlatformReader
+from chicorycart.configuration.metrics import ConfigurationMetrics
+from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.platform import PlatformClient
 from chicorycart.configuration.store import ConfigurationStore
-from chicorycart.flows.openings import OpeningMemory
-from chicorycart.flows.table import FlowTable
+from chicorycart.configuration.values import HttpValues
+from chicorycart.defaults import READER_CALLS_BURST
+from chicorycart.defaults import READER_CALLS_PER_SECOND
+from chicorycart.flows.mates import ServiceMates
 from chicorycart.links.datagrams import DatagramLink
-from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.sockets import DatagramSocket
 from chicorycart.membership.sources import follow_instances
 from chicorycart.membership.sources import KnownSources
@@ -49,19 +56,35 @@
         self.store.subscribe(self.sources)
         self.data_socket = DatagramSocket(daemon.data)
         self.link = DatagramLink(self.data_socket, self.sources, self.registry)
-        self.table = FlowTable(clock)
-        self.delivery = Delivery(
-            hash_name(settings.service),
+        self.ownership = FlowOwnership(
+            ServiceMates(
+                self.store, settings.service, pack_address(daemon.data), clock
+            ),
             DecapsulatingHost(self.data_socket, settings.decapsulation),
-            self.table,
-            OpeningMemory(clock),
+            KernelConnections(),
             TargetAcceptance(self.store, settings.service, settings.target),
             self.link,
+            time_ns(),
+            clock,
+            Random(),
             DecisionLog(daemon.log.decision_sample),
             self.registry,
         )
-        self.link.register(MessageKind.FORWARD, self.delivery)
-        self.platform = PlatformClient(daemon.platform)
+        for kind, receiver in self.ownership.list_receivers().items():
+            self.link.register(kind, receiver)
+        self.platform = PlatformClient(
+            HttpValues(daemon.platform),
+            TokenBucket(
+                LoopClock(), READER_CALLS_PER_SECOND, READER_CALLS_BURST
+            ),
+        )
+        self.reader = PlatformReader(
+            self.platform,
+            self.store,
+            self.store.put_in_force,
+            Backoff(Random()),
+            ConfigurationMetrics(self.registry),
+        )
         self.stopping = False
         self.requests: RequestServer | None = None
         if settings.gateway is not None:
@@ -82,6 +105,8 @@
 
     def describe_status(self) -> dict[str, Any]:
         """Return name, role, version in force and owned flows."""
+        table = self.ownership.table
+        flows = table.count_open()
         return {
             "name": self.settings.daemon.name,
             "role": "agent",
@@ -89,18 +114,24 @@
             "target": self.settings.target,
             "ready": self.is_ready(),
             "version": self.store.current.version,
-            "flows": len(self.table),
+            "flows": flows,
+            "closing": len(table) - flows,
+            "requests": self.requests.gateway.in_progress
+            if self.requests is not None
+            else 0,
         }
 
     async def run(self, stop: Event) -> None:
         """Serve until the event is set."""
         daemon = self.settings.daemon
-        servers = [serve_endpoints(daemon.control, self.registry, self)]
+        pages = list_pages(self.settings.target, self.ownership.table)
+        servers = [serve_endpoints(daemon.control, self.registry, self, pages)]
         if self.requests is not None:
             self.requests.listen(self.settings.gateway)
         tasks = [
-            create_task(follow_platform(self.platform, self.store, Random())),
+            create_task(self.reader.watch_forever()),
             create_task(follow_instances(self.platform, self.sources)),
+            create_task(self.ownership.run()),
         ]
         self.data_socket.start(self.link)
         await stop.wait()
--- a/tests/standins/gateways.py
+++ b/tests/standins/gateways.py
@@ -1,5 +1,6 @@
 """Runs gateways in this process, each before a faulty target."""
 
+from json import dumps
 from random import Random
 
 from prometheus_client import CollectorRegistry
@@ -88,7 +89,7 @@
     def publish(self) -> None:
         """Put the service in force as it is now."""
         self.version += 1
-        service = parse_service(self.plan.name, self.value)
+        service = parse_service(self.plan.name, dumps(self.value).encode())
         self.store.put_in_force(
             Configuration(self.version, {service.name: service})
         )
--- a/tests/system/path_steps.py
+++ b/tests/system/path_steps.py
@@ -1,7 +1,9 @@
 """Steps that send requests through the whole system."""
 
 from asyncio import ensure_future
+from asyncio import gather
 from asyncio import sleep
+from collections import Counter
 
 from behave import given
 from behave import then
@@ -24,6 +26,11 @@
         self.size = size
 
 
+def size_feed(lines):
+    """Return the bytes of a feed of so many lines."""
+    return sum(len(f"{number}\n") for number in range(lines))
+
+
 @given("both small services behind {balancers:d} balancers")
 def start_world(context, balancers):
     network = Network()
@@ -56,20 +63,31 @@
 def read_feed(context, lines, service):
     path = f"/feed?lines={lines}"
     response = context.run(context.world.request(service, path))
-    size = sum(len(f"{number}\n") for number in range(lines))
-    context.answers.append(Answer(service, response, size))
+    context.answers.append(Answer(service, response, size_feed(lines)))
+
+
+def begin(context, service, path, size):
+    """Begin a request that goes on during later steps."""
+
+    async def start():
+        request = context.world.request(service, path)
+        context.open_request = ensure_future(request)
+        await sleep(MID_DOWNLOAD_SECONDS)
+
+    context.open_service = service
+    context.open_size = size
+    context.run(start())
+    assert not context.open_request.done()
 
 
 @when('a caller begins to download the diagram of "{service}"')
 def begin_download(context, service):
-    async def begin():
-        request = context.world.request(service, "/diagram")
-        context.download = ensure_future(request)
-        await sleep(MID_DOWNLOAD_SECONDS)
+    begin(context, service, "/diagram", DIAGRAM_BYTES)
+
 
-    context.download_service = service
-    context.run(begin())
-    assert not context.download.done()
+@when('a caller begins to read {lines:d} lines of the feed of "{service}"')
+def begin_feed(context, lines, service):
+    begin(context, service, f"/feed?lines={lines}", size_feed(lines))
 
 
 @when("balancer {number:d} is killed")
@@ -78,12 +96,13 @@
 
 
 @when("the download ends")
-def end_download(context):
+@when("the feed ends")
+def end_open_request(context):
     async def end():
-        return await context.download
+        return await context.open_request
 
     response = context.run(end())
-    answer = Answer(context.download_service, response, DIAGRAM_BYTES)
+    answer = Answer(context.open_service, response, context.open_size)
     context.answers.append(answer)
 
 
@@ -101,3 +120,27 @@
 def check_runs(context, booking):
     targets = context.world.targets.values()
     assert sum(target.runs[booking] for target in targets) == 1
+
+
+@when("{count:d} callers book, {width:d} at a time, at both services")
+def book_many(context, count, width):
+    async def work(numbers):
+        for number in numbers:
+            service = "dispatch" if number % 2 else "catalogue"
+            response = await context.world.book(service, f"n-{number}")
+            size = len(f"booked n-{number}\n")
+            context.answers.append(Answer(service, response, size))
+
+    async def work_all():
+        numbers = iter(range(count))
+        await gather(*(work(numbers) for _ in range(width)))
+
+    context.run(work_all())
+    context.bookings = {f"n-{number}" for number in range(count)}
+
+
+@then("each of the bookings ran once")
+def check_all_runs(context):
+    runs = sum((t.runs for t in context.world.targets.values()), Counter())
+    assert set(runs) == context.bookings
+    assert set(runs.values()) == {1}
