--- /dev/null
+++ b/tests/requests/slots_steps.py
@@ -0,0 +1,203 @@
+"""Steps that use the slots, the budget and the memory by themselves."""
+
+from asyncio import create_task
+from asyncio import gather
+from asyncio import sleep
+from random import Random
+
+from behave import given
+from behave import then
+from behave import when
+
+from chicorycart.clock import LoopClock
+from chicorycart.defaults import MAX_SEEN_REQUESTS
+from chicorycart.requests.budget import RetryBudget
+from chicorycart.requests.errors import NotRunError
+from chicorycart.requests.errors import OutcomeUnknownError
+from chicorycart.requests.errors import RefusedError
+from chicorycart.requests.rate import ServiceTime
+from chicorycart.requests.refusals import choose_retry_after
+from chicorycart.requests.seen import SeenRequests
+from chicorycart.requests.slots import Slots
+
+SETTLED_SECONDS = 100
+
+
+class Work:
+    """Requests that run in slots on virtual time."""
+
+    def __init__(self, slots, seconds):
+        self.clock = LoopClock()
+        self.slots = Slots(self.clock, ServiceTime(seconds), slots)
+        self.seconds = seconds
+        self.begun = []
+        self.refused = {}
+
+    async def do(self, number, deadline):
+        start = self.clock.now()
+        try:
+            slot = await self.slots.acquire(start + deadline)
+        except RefusedError:
+            self.refused[number] = self.clock.now() - start
+            return
+        self.begun.append(number)
+        try:
+            await sleep(self.seconds)
+        finally:
+            slot.release()
+
+
+@given("{slots:d} slots of a target that takes {seconds:g} s for a request")
+def make_work(context, slots, seconds):
+    context.work = Work(slots, seconds)
+    context.tasks = []
+
+
+@given("the target now takes {seconds:g} s")
+def change_seconds(context, seconds):
+    context.work.seconds = seconds
+
+
+@when('requests come with deadlines of "{deadlines}" s')
+def come(context, deadlines):
+    async def start():
+        context.tasks = [
+            create_task(context.work.do(number, float(deadline)))
+            for number, deadline in enumerate(deadlines.split(), 1)
+        ]
+        await sleep(0.01)
+
+    context.run(start())
+
+
+@when("request {number:d} leaves after {seconds:g} s")
+def leave(context, number, seconds):
+    async def wait():
+        await sleep(seconds)
+        context.tasks[number - 1].cancel()
+        await sleep(0.001)
+
+    context.run(wait())
+
+
+@when("{count:d} requests become streams one after the other")
+def become_streams(context, count):
+    async def become():
+        for _ in range(count):
+            slot = await context.work.slots.acquire(10_000)
+            slot.become_stream()
+
+    context.run(become())
+
+
+@when("{count:d} requests come one after the other")
+def come_in_turn(context, count):
+    async def come_each():
+        for number in range(count):
+            await context.work.do(number, 1000)
+
+    context.run(come_each())
+
+
+@when("{count:d} callers are refused with {backlog:g} s of work at hand")
+def refuse(context, count, backlog):
+    random = Random(1)
+    context.times = {choose_retry_after(backlog, random) for _ in range(count)}
+
+
+@when("each of {count:d} requests asks for {times:d} resends")
+def ask(context, count, times):
+    budget = RetryBudget()
+    context.resends = 0
+    for _ in range(count):
+        budget.earn()
+        context.resends += sum(budget.spend() for _ in range(times))
+
+
+@when("identifiers are admitted at these times")
+def admit_each(context):
+    context.now = 0
+    context.seen = SeenRequests(lambda: context.now)
+    context.pairs = []
+    for row in context.table:
+        context.now = int(row["at"])
+        answer = admit(context, row["identifier"], int(row["deadline"]))
+        context.pairs.append((answer, row["answer"]))
+
+
+def admit(context, identifier, deadline):
+    try:
+        context.seen.admit(identifier, deadline)
+    except NotRunError:
+        return "not run"
+    except OutcomeUnknownError:
+        return "unknown"
+    return "taken"
+
+
+@then('they begin in the order "{order}"')
+def check_order(context, order):
+    context.run(gather_all(context))
+    expected = [int(number) for number in order.split()]
+    assert context.work.begun == expected, context.work.begun
+
+
+async def gather_all(context):
+    await gather(*context.tasks, return_exceptions=True)
+
+
+@then("request {number:d} is refused after {seconds:g} s")
+def check_refused(context, number, seconds):
+    context.run(sleep(SETTLED_SECONDS))
+    after = context.work.refused[number]
+    assert abs(after - seconds) < 0.001, after
+
+
+@then("{count:d} request waits")
+def check_waiting(context, count):
+    assert len(context.work.slots.waiting) == count
+
+
+@then("no slot is in use in the end")
+def check_unused(context):
+    assert context.work.slots.in_progress == 0
+
+
+@then("{streams:d} streams are open and {slots:d} request is in its slot")
+def check_streams(context, streams, slots):
+    counts = (context.work.slots.streams, context.work.slots.in_progress)
+    assert counts == (streams, slots), counts
+
+
+@then("the rate is within {percent:d} % of {rate:g} requests a second")
+def check_rate(context, percent, rate):
+    measured = context.work.slots.rate
+    assert abs(measured / rate - 1) <= percent / 100, measured
+
+
+@then(
+    "they are told {least:d} to {most:d} s, each of these times at least once"
+)
+def check_times(context, least, most):
+    assert context.times == set(range(least, most + 1)), context.times
+
+
+@then("{count:d} resends are allowed")
+def check_resends(context, count):
+    assert context.resends == count, context.resends
+
+
+@then("each answer is as the table says")
+def check_answers(context):
+    for seen, expected in context.pairs:
+        assert seen == expected, context.pairs
+
+
+@then("{count:d} more of them leave room for none until their deadline")
+def check_bound(context, count):
+    context.now = 100
+    answers = {admit(context, f"n{n}", 110) for n in range(MAX_SEEN_REQUESTS)}
+    assert answers == {"taken"}
+    assert admit(context, "one more", 110) == "not run"
+    context.now = 110
+    assert admit(context, "one more", 120) == "taken"
