--- a/chicorycart/requests/slots.py
+++ b/chicorycart/requests/slots.py
@@ -65,6 +65,11 @@
         self.is_stream = False
         self.is_released = False
 
+    @property
+    def is_working(self) -> bool:
+        """Whether the request holds its slot now."""
+        return not self.is_released and not self.is_stream
+
     def release(self, is_measured: bool = True) -> None:
         """Give the slot back; further calls do nothing."""
         if self.is_released:
@@ -74,7 +79,7 @@
 
     def become_stream(self) -> None:
         """Free the slot, if there is room for one more stream."""
-        if not self.is_released and not self.is_stream:
+        if self.is_working:
             self.slots.move_to_streams(self)
 
 
--- a/tests/requests/mates.feature
+++ b/tests/requests/mates.feature
@@ -49,3 +49,11 @@
     And a request hangs at target 1
     And a caller books 1 times with 50 ms each at gateway 1
     Then the answers are "503 not-run"
+
+  Scenario: The load that mates hear of is the gateway's own
+    Given 1 gateway with 2 slots
+    When a caller books 100 times with 20000 ms each at gateway 1
+    And target 1 now "hangs before running"
+    And a caller falls silent after "GET /first HTTP/1.1~~"
+    And a request hangs at target 1
+    Then gateway 1 tells 1 in progress, 0 queued and a measured strength
--- a/tests/requests/mates_steps.py
+++ b/tests/requests/mates_steps.py
@@ -85,6 +85,20 @@
     ]
 
 
+@then(
+    "gateway {number:d} tells {in_progress:d} in progress, {queued:d} queued"
+    " and a measured strength"
+)
+def check_load(context, number, in_progress, queued):
+    async def ask():
+        return context.pool.servers[number - 1].gateway.current_load()
+
+    load = context.run(ask())
+    assert (load.in_progress, load.queued) == (in_progress, queued)
+    weight = context.pool.plan.weights[number - 1]
+    assert load.strength > weight, load.strength
+
+
 @then('the answers are "{told}"')
 def check_told(context, told):
     assert [a.told for a in context.answers] == told.split(", "), [
