Count a target as down only when it refused a connection in time

A caller that asked for an answer within 0 ms made the connection time out, and the target looked down for a second: other callers' connections were closed and opening flows refused.

--- a/chicorycart/requests/gateway.py
+++ b/chicorycart/requests/gateway.py
@@ -341,7 +341,9 @@
                 self.backend, None, request.deadline
             )
         except NotRunError:
-            self.down_until = self.clock.now() + TARGET_DOWN_SECONDS
+            now = self.clock.now()
+            if now < request.deadline:
+                self.down_until = now + TARGET_DOWN_SECONDS
             raise
         self.down_until = 0.0
         self.decide(request, "target", "slot free")
--- a/tests/requests/drain_steps.py
+++ b/tests/requests/drain_steps.py
@@ -103,12 +103,13 @@
     assert context.heard[-1].field("Connection") == "close"
 
 
-@then("gateway {number:d} takes no opening flows")
-def check_no_openings(context, number):
+@then("gateway {number:d} takes {what} flows")
+def check_openings(context, number, what):
     async def ask():
         return context.pool.servers[number - 1].gateway.current_load()
 
-    assert not context.run(ask()).takes_new_work
+    takes = {"opening": True, "no opening": False}[what]
+    assert context.run(ask()).takes_new_work is takes
 
 
 @then("gateway {number:d} stops")
--- a/tests/requests/mates.feature
+++ b/tests/requests/mates.feature
@@ -57,3 +57,9 @@
     And a caller falls silent after "GET /first HTTP/1.1~~"
     And a request hangs at target 1
     Then gateway 1 tells 1 in progress, 0 queued and a measured strength
+
+  Scenario: A caller without patience does not make the target look down
+    Given 1 gateway with 2 slots
+    When a caller books 1 times with 0 ms each at gateway 1
+    Then the answers are "503 not-run"
+    And gateway 1 takes opening flows
--- a/tests/requests/slots.feature
+++ b/tests/requests/slots.feature
@@ -86,3 +86,14 @@
       | 11  | b          | 1000     | not run |
     Then each answer is as the table says
     And 65536 more of them leave room for none until their deadline
+
+  Scenario Outline: A body that stops coming gives its request up
+    When a body comes as "<parts>" of "<size>" bytes
+    Then reading it ends after <seconds> s with "<result>"
+
+    Examples: parts are the seconds before each
+      | parts     | size    | seconds | result                  |
+      | 0 1 9.9   | 100     | 10.9    | 300 bytes, kept         |
+      | 0 1 10.1  | 100     | 11      | 408                     |
+      | 0 0 0     | 60000   | 0       | 180000 bytes, not kept  |
+      | 0 0 0     | 6000000 | 0       | 413                     |
--- a/tests/requests/slots_steps.py
+++ b/tests/requests/slots_steps.py
@@ -11,10 +11,13 @@
 
 from chicorycart.clock import LoopClock
 from chicorycart.defaults import MAX_SEEN_REQUESTS
+from chicorycart.requests.body import RequestBody
 from chicorycart.requests.budget import RetryBudget
+from chicorycart.requests.errors import BadRequestError
 from chicorycart.requests.errors import NotRunError
 from chicorycart.requests.errors import OutcomeUnknownError
 from chicorycart.requests.errors import RefusedError
+from chicorycart.requests.pipe import Pipe
 from chicorycart.requests.rate import ServiceTime
 from chicorycart.requests.refusals import choose_retry_after
 from chicorycart.requests.seen import SeenRequests
@@ -135,6 +138,36 @@
     return "taken"
 
 
+@when('a body comes as "{parts}" of "{size:d}" bytes')
+def send_body(context, parts, size):
+    async def feed(pipe):
+        for seconds in parts.split():
+            await sleep(float(seconds))
+            await pipe.put(b"x" * size)
+        pipe.end()
+
+    async def read():
+        body = RequestBody(Pipe())
+        feeding = create_task(feed(body.pipe))
+        try:
+            await body.prefetch()
+            sent = sum([len(chunk) async for chunk in body.chunks()])
+        except BadRequestError as error:
+            return str(error.status)
+        finally:
+            context.seconds = LoopClock().now()
+            feeding.cancel()
+        return f"{sent} bytes, {'' if body.can_replay else 'not '}kept"
+
+    context.result = context.run(read())
+
+
+@then('reading it ends after {seconds:g} s with "{result}"')
+def check_body(context, seconds, result):
+    assert context.result == result, context.result
+    assert abs(context.seconds - seconds) < 0.001, context.seconds
+
+
 @then('they begin in the order "{order}"')
 def check_order(context, order):
     context.run(gather_all(context))
