Test drain through the whole system, kept connections included

Callers keep connections to every target; 3 s after one is published as draining, neither they nor new callers run anything there, and all are answered. A booking whose real agent is killed runs at most once.

Seen failing first: with the draining state unknown to the gateway a kept connection still books at dispatch-1 (0 passed, 1 failed).

--- a/tests/requests/drain.feature
+++ b/tests/requests/drain.feature
@@ -49,3 +49,16 @@
     And the download ends
     Then every answer is whole and from a target of its own service
     And every stopped agent exits with 0
+
+  Scenario: A leaving target gets no new work within 3 s, through the system
+    Given both small services behind 2 balancers
+    When callers of "dispatch" keep connections to every target
+    And target "dispatch-1" of "dispatch" is published as draining
+    And the system has 3 s to notice
+    And each of them and 12 others book at "dispatch"
+    Then no booking since then ran at "dispatch-1", and all ran once
+
+  Scenario: A killed agent leaves its booking run at most once
+    Given both small services behind 2 balancers
+    When a caller's booking at "catalogue-1" of "catalogue" is cut by a kill
+    Then that booking ran at most once
--- a/tests/requests/drain_steps.py
+++ b/tests/requests/drain_steps.py
@@ -14,6 +14,8 @@
 
 PATH = "/bookings/1"
 ARRIVAL_SECONDS = 10
+KILL_SECONDS = 0.3
+MAX_KEPT = 200
 
 
 async def begin(context, number):
@@ -129,3 +131,87 @@
         ]
 
     assert set(context.run(exits())) == {code}
+
+
+@when('callers of "{service}" keep connections to every target')
+def keep_connections(context, service):
+    async def book_until_all():
+        plan = context.world.services[service]
+        context.kept = []
+        targets = set()
+        while len(targets) < len(plan.hosts):
+            assert len(context.kept) < MAX_KEPT, targets
+            context.kept.append(await connect(plan.entry))
+            answer = await book_kept(context.kept[-1], "before")
+            targets.add(answer.field("X-Target"))
+
+    context.run(book_until_all())
+
+
+async def book_kept(connection, booking):
+    await connection.send(build_request(f"/bookings/{booking}"))
+    return await connection.hear()
+
+
+@when('target "{target}" of "{service}" is published as draining')
+def publish_draining(context, target, service):
+    context.world.change_target(service, target, state="draining")
+
+
+@when("the system has {seconds:d} s to notice")
+def wait(context, seconds):
+    context.run(sleep(seconds))
+
+
+@when('each of them and {count:d} others book at "{service}"')
+def book_after(context, count, service):
+    async def book_all():
+        entry = context.world.services[service].entry
+        others = [await connect(entry) for _ in range(count)]
+        connections = [*context.kept, *others]
+        answers = [
+            await book_kept(connection, f"after-{number}")
+            for number, connection in enumerate(connections)
+        ]
+        for connection in connections:
+            connection.close()
+        return answers
+
+    context.answers = context.run(book_all())
+
+
+@then('no booking since then ran at "{target}", and all ran once')
+def check_drained(context, target):
+    told = [answer.told for answer in context.answers]
+    assert set(told) == {"200 whole"}, told
+    targets = context.world.targets.values()
+    for number in range(len(told)):
+        runs = sum(t.runs[f"after-{number}"] for t in targets)
+        assert runs == 1, runs
+    drained = context.world.targets[target].runs
+    assert not any(name.startswith("after") for name in drained), drained
+
+
+@when('a caller\'s booking at "{target}" of "{service}" is cut by a kill')
+def kill_agent(context, target, service):
+    async def book():
+        plan = context.world.services[service]
+        member = [plan.target_name(m) for m in range(len(plan.hosts))]
+        gateway = plan.hosts[member.index(target)].gateway
+        context.world.targets[target].work_seconds = KILL_SECONDS * 2
+        connection = await connect(gateway)
+        await connection.send(build_request("/bookings/killed"))
+        await sleep(KILL_SECONDS)
+        await context.world.kill(target)
+        answer = await connection.hear()
+        connection.close()
+        return answer.told
+
+    assert context.run(book()) == "connection closed"
+
+
+@then("that booking ran at most once")
+def check_killed(context):
+    context.run(sleep(KILL_SECONDS * 2))
+    targets = context.world.targets.values()
+    assert sum(t.runs["killed"] for t in targets) <= 1
