--- a/chicorycart/agent/delivery.py
+++ b/chicorycart/agent/delivery.py
@@ -76,13 +76,13 @@
         elif not self.mates.serves(packet.entry):
             self.output.count("other entry")
         else:
-            self.route(forward, packet)
+            self.route(forward, packet, source)
 
-    def route(self, forward: Forward, packet: Packet) -> None:
+    def route(self, forward: Forward, packet: Packet, source: Address) -> None:
         """Deliver a packet of an owned flow; seek the owner of others."""
         if self.table.owns(packet.flow):
             self.output.keep(forward, packet, "owner")
         elif packet.is_opening:
-            self.openings.place(forward, packet)
+            self.openings.place(forward, packet, source)
         else:
             self.search.pass_on(forward, packet)
--- a/chicorycart/agent/opening.py
+++ b/chicorycart/agent/opening.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+from chicorycart.address import Address
+from chicorycart.address import unpack_address
 from chicorycart.agent.output import PacketOutput
 from chicorycart.flows.claims import Claims
 from chicorycart.flows.mates import ServiceMates
@@ -51,9 +53,9 @@
         """Decide on the packet here."""
         self.placement.decide(self.forward, self.packet)
 
-    def give_up(self) -> None:
-        """Drop the packet; its repeat asks again."""
-        self.placement.output.drop(self.forward, self.packet, "asked too long")
+    def give_up(self, reason: str) -> None:
+        """Drop the packet; another copy or its repeat goes on."""
+        self.placement.output.drop(self.forward, self.packet, reason)
 
 
 class OpeningPlacement:
@@ -105,12 +107,26 @@
         self.settling = settling
         self.acceptance = acceptance
 
-    def place(self, forward: Forward, packet: Packet) -> None:
-        """Place a packet whose flow this agent does not own."""
-        placed_at = self.memory.recall(packet.flow)
-        if self.claims.is_pending(packet.flow):
+    def place(self, forward: Forward, packet: Packet, source: Address) -> None:
+        """Place a packet whose flow this agent does not own.
+
+        Parameters
+        ----------
+        forward : Forward
+            The message that brought it.
+        packet : Packet
+            The packet in it.
+        source : Address
+            Who sent the message.
+        """
+        is_pending = self.claims.is_pending(packet.flow)
+        if is_pending and not forward.placed:
             self.output.drop(forward, packet, "waits already")
-        elif placed_at is not None and self.can_take(placed_at):
+            return
+        if is_pending:
+            self.claims.abandon(packet.flow)
+        placed_at = self.memory.recall(packet.flow)
+        if self.can_follow(placed_at, forward, source):
             self.place_at(forward, packet, placed_at, "placed before")
         elif forward.placed:
             self.take(forward, packet)
@@ -119,6 +135,17 @@
         else:
             self.ask(forward, packet)
 
+    def can_follow(
+        self, agent: int | None, forward: Forward, source: Address
+    ) -> bool:
+        """Tell whether a packet goes where its flow was placed before.
+
+        It does not if that agent itself places the flow here.
+        """
+        if agent is None or not self.can_take(agent):
+            return False
+        return not (forward.placed and unpack_address(agent) == source)
+
     def can_take(self, agent: int) -> bool:
         """Tell whether packets can be sent to the agent."""
         return self.mates.is_known(agent) and not self.mates.is_suspected(
--- a/chicorycart/agent/ownership.py
+++ b/chicorycart/agent/ownership.py
@@ -51,7 +51,8 @@
     sender : Sender
         Sends to other agents.
     incarnation : int
-        Greater than that of any earlier process of this agent.
+        Greater than that of any earlier process of this agent, and its
+        questions; the time in nanoseconds will do.
     clock : Clock
         Ages everything.
     random : Random
@@ -94,7 +95,9 @@
         records = OwnerRecords(clock)
         settling = Settling(clock, mates)
         output = PacketOutput(host, table, mates, sender, decisions, registry)
-        claims = Claims(service, mates, table, memory, clock, sender)
+        claims = Claims(
+            service, mates, table, memory, clock, sender, incarnation
+        )
         self.service = service
         self.table = table
         self.records = records
--- a/chicorycart/agent/search.py
+++ b/chicorycart/agent/search.py
@@ -54,7 +54,9 @@
         self.extend(forward, self.list_recorded(bucket))
         if not self.has_next(forward):
             self.extend(forward, self.mates.chain(bucket))
-        if not self.has_next(forward) and not self.settling.is_settled():
+        if not self.is_settled(forward):
+            forward.unsettled = True
+        if not self.has_next(forward) and forward.unsettled:
             self.extend(forward, self.mates.list_others())
         if self.has_next(forward):
             forward.position = self.find_next(forward)
@@ -66,15 +68,20 @@
     def end(self, forward: Forward, packet: Packet) -> None:
         """Give up the search.
 
-        While versions and records may still be on their way, the packet is
-        dropped: its repeat may find the owner.
+        While versions and records may still be on their way to an agent
+        that had the packet, it is dropped: its repeat may find the owner.
         """
-        is_behind = forward.version > self.mates.store.current.version
-        if is_behind or not self.settling.is_settled():
+        if forward.unsettled:
             self.output.drop(forward, packet, "no owner yet")
         else:
             self.output.reset(forward, packet)
 
+    def is_settled(self, forward: Forward) -> bool:
+        """Tell whether this agent would know the owner if there were one."""
+        if forward.version > self.mates.store.current.version:
+            return False
+        return self.settling.is_settled()
+
     def list_recorded(self, bucket: int) -> list[int]:
         """Return the recorded owners of the bucket in random order."""
         owners = self.records.owners_of(bucket)
--- a/chicorycart/flows/claims.py
+++ b/chicorycart/flows/claims.py
@@ -32,24 +32,26 @@
     def take_no_claim(self) -> None:
         """Learn that no agent that answered in time owns it."""
 
-    def give_up(self) -> None:
-        """Learn that the outcome came too late to be relied on."""
+    def give_up(self, reason: str) -> None:
+        """Learn that the flow is left to its next packet or another agent."""
 
 
 class PendingClaim:
     """A question that not every agent has answered yet."""
 
-    __slots__ = ("claimant", "waiting", "asked_at", "timer")
+    __slots__ = ("claimant", "waiting", "number", "asked_at", "timer")
 
     def __init__(
         self,
         claimant: Claimant,
         waiting: set[int],
+        number: int,
         asked_at: float,
         timer: TimerHandle,
     ):
         self.claimant = claimant
         self.waiting = waiting
+        self.number = number
         self.asked_at = asked_at
         self.timer = timer
 
@@ -58,7 +60,7 @@
     """Questions on owners, asked and answered by one agent.
 
     Of two agents that ask each other at the same time, the one with the
-    lower address takes the flow.
+    lower address goes on and the other gives up.
 
     Parameters
     ----------
@@ -74,6 +76,8 @@
         Shows whether an outcome came too late.
     sender : Sender
         Sends questions and answers.
+    number : int
+        Greater than that of any question of an earlier process.
     """
 
     __slots__ = (
@@ -83,6 +87,7 @@
         "memory",
         "clock",
         "sender",
+        "number",
         "pending",
     )
 
@@ -94,6 +99,7 @@
         memory: OpeningMemory,
         clock: Clock,
         sender: Sender,
+        number: int,
     ):
         self.service = service
         self.mates = mates
@@ -101,6 +107,7 @@
         self.memory = memory
         self.clock = clock
         self.sender = sender
+        self.number = number
         self.pending: dict[bytes, PendingClaim] = {}
 
     def is_pending(self, flow: bytes) -> bool:
@@ -116,24 +123,28 @@
     ) -> None:
         """Ask the agents (packed addresses) who owns the flow."""
         waiting = set(agents)
+        self.number += 1
         timer = get_running_loop().call_later(
             CLAIM_TIMEOUT_SECONDS, self.time_out, flow
         )
         self.pending[flow] = PendingClaim(
-            claimant, waiting, self.clock.now(), timer
+            claimant, waiting, self.number, self.clock.now(), timer
         )
-        body = encode_query(OwnerQuery(self.service, flow))
+        body = encode_query(OwnerQuery(self.service, flow, self.number))
         for agent in sorted(waiting):
             self.sender.send(
                 MessageKind.OWNER_QUERY, body, unpack_address(agent)
             )
 
-    def take_query(self, flow: bytes, source: Address) -> None:
+    def take_query(self, query: OwnerQuery, source: Address) -> None:
         """Answer the question of another agent."""
-        asker = pack_address(source)
-        answer = OwnerAnswer(self.service, flow, self.find_owner(flow, asker))
-        if answer.owner is None:
+        flow = query.flow
+        owner = self.find_owner(flow, pack_address(source))
+        if owner is None:
             self.memory.note_query(flow)
+            if self.is_pending(flow):
+                self.close(flow).claimant.give_up("left to another agent")
+        answer = OwnerAnswer(self.service, flow, owner, query.number)
         self.sender.send(
             MessageKind.OWNER_ANSWER, encode_answer(answer), source
         )
@@ -154,6 +165,11 @@
         agent = pack_address(source)
         if pending is None or agent not in pending.waiting:
             return
+        if answer.number != pending.number:
+            return
+        if self.is_late(pending):
+            self.close(answer.flow).claimant.give_up("asked too long ago")
+            return
         if self.is_claim(answer.owner):
             self.close(answer.flow)
             pending.claimant.take_claim(answer.owner)
@@ -170,17 +186,24 @@
         return self.mates.is_known(owner)
 
     def time_out(self, flow: bytes) -> None:
-        """Go on without the answers that are missing.
-
-        After a pause the missing answers, and what was decided elsewhere
-        in the meantime, may still wait unread.
-        """
+        """Go on without the answers that are missing."""
         pending = self.close(flow)
-        if self.clock.now() - pending.asked_at > PAUSE_SECONDS:
-            pending.claimant.give_up()
+        if self.is_late(pending):
+            pending.claimant.give_up("asked too long ago")
         else:
             pending.claimant.take_no_claim()
 
+    def is_late(self, pending: PendingClaim) -> bool:
+        """Tell whether this process was paused since it asked.
+
+        Others may have decided on the flow in the meantime.
+        """
+        return self.clock.now() - pending.asked_at > PAUSE_SECONDS
+
+    def abandon(self, flow: bytes) -> None:
+        """Stop asking, since another agent placed the flow here."""
+        self.close(flow).claimant.give_up("placed here")
+
     def close(self, flow: bytes) -> PendingClaim:
         """Stop waiting for answers."""
         pending = self.pending.pop(flow)
--- a/chicorycart/flows/messages.capnp
+++ b/chicorycart/flows/messages.capnp
@@ -20,6 +20,7 @@
     flow @1 :Data;           # who owns this flow?
     records @2 :Void;        # send your owner record
   }
+  number @3 :UInt64;         # the answer repeats it
 }
 
 struct OwnerAnswer {
@@ -27,4 +28,5 @@
   service @0 :UInt64;        # hash of the service's name
   flow @1 :Data;
   owner @2 :UInt64;          # 0 if the agent knows none
+  number @3 :UInt64;         # that of the query
 }
--- a/chicorycart/flows/messages.py
+++ b/chicorycart/flows/messages.py
@@ -75,13 +75,16 @@
         Identifier of the service.
     flow : bytes or None
         The flow whose owner is sought; None asks for the owner record.
+    number : int
+        Tells the questions of one agent on a flow apart.
     """
 
-    __slots__ = ("service", "flow")
+    __slots__ = ("service", "flow", "number")
 
-    def __init__(self, service: int, flow: bytes | None):
+    def __init__(self, service: int, flow: bytes | None, number: int = 0):
         self.service = service
         self.flow = flow
+        self.number = number
 
 
 class OwnerAnswer:
@@ -95,14 +98,19 @@
         The flow that was asked about.
     owner : int or None
         Packed address of its owner, None if the agent knows none.
+    number : int
+        Number of the query.
     """
 
-    __slots__ = ("service", "flow", "owner")
+    __slots__ = ("service", "flow", "owner", "number")
 
-    def __init__(self, service: int, flow: bytes, owner: int | None):
+    def __init__(
+        self, service: int, flow: bytes, owner: int | None, number: int
+    ):
         self.service = service
         self.flow = flow
         self.owner = owner
+        self.number = number
 
 
 def encode_record(record: OwnerRecord) -> bytes:
@@ -158,7 +166,9 @@
 
 def encode_query(query: OwnerQuery) -> bytes:
     """Return the query in wire form."""
-    message = SCHEMA.OwnerQuery.new_message(service=query.service)
+    message = SCHEMA.OwnerQuery.new_message(
+        service=query.service, number=query.number
+    )
     if query.flow is None:
         message.records = None
     else:
@@ -178,7 +188,7 @@
         with SCHEMA.OwnerQuery.from_bytes(body) as message:
             is_flow = message.which() == "flow"
             flow = read_flow(message.flow) if is_flow else None
-            return OwnerQuery(message.service, flow)
+            return OwnerQuery(message.service, flow, message.number)
     except (capnp.KjException, ValueError) as error:
         raise FlowError("not an owner query") from error
 
@@ -186,7 +196,10 @@
 def encode_answer(answer: OwnerAnswer) -> bytes:
     """Return the answer in wire form."""
     message = SCHEMA.OwnerAnswer.new_message(
-        service=answer.service, flow=answer.flow, owner=answer.owner or 0
+        service=answer.service,
+        flow=answer.flow,
+        owner=answer.owner or 0,
+        number=answer.number,
     )
     return message.to_bytes()
 
@@ -202,7 +215,10 @@
     try:
         with SCHEMA.OwnerAnswer.from_bytes(body) as message:
             return OwnerAnswer(
-                message.service, read_flow(message.flow), message.owner or None
+                message.service,
+                read_flow(message.flow),
+                message.owner or None,
+                message.number,
             )
     except (capnp.KjException, ValueError) as error:
         raise FlowError("not an owner answer") from error
--- a/chicorycart/flows/receivers.py
+++ b/chicorycart/flows/receivers.py
@@ -97,7 +97,7 @@
         if query.flow is None:
             self.announcer.answer(source)
         else:
-            self.claims.take_query(query.flow, source)
+            self.claims.take_query(query, source)
 
 
 class AnswerReceiver:
--- a/chicorycart/packets/forward.py
+++ b/chicorycart/packets/forward.py
@@ -28,6 +28,8 @@
         Whether an earlier agent chose this one for the opening flow.
     packet : bytes
         The whole IPv4 packet.
+    unsettled : bool
+        Whether an agent that had the packet may not know the owner yet.
     """
 
     __slots__ = (
@@ -38,6 +40,7 @@
         "hops",
         "placed",
         "packet",
+        "unsettled",
     )
 
     def __init__(
@@ -49,6 +52,7 @@
         position: int = 0,
         hops: int = 0,
         placed: bool = False,
+        unsettled: bool = False,
     ):
         self.version = version
         self.service = service
@@ -57,6 +61,7 @@
         self.position = position
         self.hops = hops
         self.placed = placed
+        self.unsettled = unsettled
 
 
 def encode_forward(forward: Forward) -> bytes:
@@ -69,6 +74,7 @@
         hops=forward.hops,
         placed=forward.placed,
         packet=forward.packet,
+        unsettled=forward.unsettled,
     )
     return message.to_bytes()
 
@@ -91,6 +97,7 @@
                 message.position,
                 message.hops,
                 message.placed,
+                message.unsettled,
             )
     except (capnp.KjException, ValueError) as error:
         raise PacketError("not a forwarded packet") from error
--- a/chicorycart/packets/messages.capnp
+++ b/chicorycart/packets/messages.capnp
@@ -9,4 +9,5 @@
   hops @4 :UInt8;            # times the packet has been sent
   placed @5 :Bool;           # an earlier agent chose this one for the flow
   packet @6 :Data;           # the whole IPv4 packet
+  unsettled @7 :Bool;        # an agent on the way may not know the owner yet
 }
