--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -105,6 +105,8 @@
 
     def describe_status(self) -> dict[str, Any]:
         """Return name, role, version in force and owned flows."""
+        table = self.ownership.table
+        flows = table.count_open()
         return {
             "name": self.settings.daemon.name,
             "role": "agent",
@@ -112,7 +114,11 @@
             "target": self.settings.target,
             "ready": self.is_ready(),
             "version": self.store.current.version,
-            "flows": self.ownership.table.count_open(),
+            "flows": flows,
+            "closing": len(table) - flows,
+            "requests": self.requests.gateway.in_progress
+            if self.requests is not None
+            else 0,
         }
 
     async def run(self, stop: Event) -> None:
