Ask those who asked for a flow before accepting it

Cause: the model with other candidates in version 2 found that an agent behind the others (it knows neither version 2 nor who may accept there) did not ask the agent that had asked it. It now remembers the askers.

--- a/chicorycart/agent/opening.py
+++ b/chicorycart/agent/opening.py
@@ -167,7 +167,7 @@
             and chain == forward.chain
             and chain == self.mates.candidates(bucket)
             and self.settling.is_settled()
-            and not self.memory.is_contended(packet.flow)
+            and not self.memory.list_askers(packet.flow)
             and not self.records.owners_of(bucket)
         )
 
@@ -189,6 +189,7 @@
         """Return the other agents that may have accepted the flow."""
         bucket = bucket_of(hash_flow(packet.flow))
         agents = [*forward.chain, *self.mates.chain(bucket)]
+        agents += self.memory.list_askers(packet.flow)
         agents += self.records.owners_of(bucket)
         if not self.settling.is_settled():
             agents += self.mates.list_others()
--- a/chicorycart/agent/ownership.py
+++ b/chicorycart/agent/ownership.py
@@ -133,7 +133,7 @@
                 self.service, mates, self.records
             ),
             MessageKind.OWNER_QUERY: QueryReceiver(
-                self.service, self.claims, self.announcer
+                self.service, mates, self.claims, self.announcer
             ),
             MessageKind.OWNER_ANSWER: AnswerReceiver(
                 self.service, self.claims
--- a/chicorycart/flows/claims.py
+++ b/chicorycart/flows/claims.py
@@ -139,9 +139,10 @@
     def take_query(self, query: OwnerQuery, source: Address) -> None:
         """Answer the question of another agent."""
         flow = query.flow
-        owner = self.find_owner(flow, pack_address(source))
+        asker = pack_address(source)
+        owner = self.find_owner(flow, asker)
         if owner is None:
-            self.memory.note_query(flow)
+            self.memory.note_query(flow, asker)
             if self.is_pending(flow):
                 self.close(flow).claimant.give_up("left to another agent")
         answer = OwnerAnswer(self.service, flow, owner, query.number)
@@ -156,8 +157,7 @@
             return own
         if self.is_pending(flow):
             return own if own < asker else None
-        remembered = self.memory.recall(flow)
-        return remembered if remembered != asker else None
+        return self.memory.recall(flow)
 
     def take_answer(self, answer: OwnerAnswer, source: Address) -> None:
         """Take the answer of another agent to the question asked."""
--- a/chicorycart/flows/mates.py
+++ b/chicorycart/flows/mates.py
@@ -40,9 +40,9 @@
     Attributes
     ----------
     known : OrderedDict
-        Every agent of the service that was seen; the oldest go first when
-        there are too many. One that left the configuration stays, since it
-        may still own flows.
+        Agents of the service that were seen; the oldest go first when there
+        are too many. One that left the configuration stays, since it may
+        still own flows; one may also be newer than the version in force.
     changed_at : float
         When the targets of the service last changed.
     """
@@ -99,7 +99,7 @@
 
     def is_known(self, agent: int) -> bool:
         """Tell whether the agent stands, or stood, beside a target."""
-        return agent in self.known
+        return agent in self.targets or agent in self.known
 
     def is_active(self, agent: int) -> bool:
         """Tell whether the agent's target takes new work."""
--- a/chicorycart/flows/openings.py
+++ b/chicorycart/flows/openings.py
@@ -13,16 +13,19 @@
     Attributes
     ----------
     agent : int or None
-        Packed address of the agent it was placed at; None if another
-        agent only asked for its owner.
+        Packed address of the agent it was placed at, if it was placed.
+    askers : set of int
+        Packed addresses of agents that asked for its owner, and of which
+        one may have accepted it since.
     expiry : float
         When this is forgotten.
     """
 
-    __slots__ = ("agent", "expiry")
+    __slots__ = ("agent", "askers", "expiry")
 
     def __init__(self, agent: int | None, expiry: float):
         self.agent = agent
+        self.askers: set[int] = set()
         self.expiry = expiry
 
 
@@ -61,12 +64,15 @@
         opening = self.find(flow)
         return opening.agent if opening else None
 
-    def note_query(self, flow: bytes) -> None:
+    def note_query(self, flow: bytes, asker: int) -> None:
         """Remember that another agent may take the flow."""
-        if self.find(flow) is None:
-            self.remember(flow, None)
-
-    def is_contended(self, flow: bytes) -> bool:
-        """Tell whether another agent asked for the owner of the flow."""
+        if self.recall(flow) is not None:
+            return
+        askers = self.list_askers(flow)
+        self.remember(flow, None)
+        self.openings[flow].askers.update(askers, (asker,))
+
+    def list_askers(self, flow: bytes) -> list[int]:
+        """Return the agents that may have taken the flow."""
         opening = self.find(flow)
-        return opening is not None and opening.agent is None
+        return sorted(opening.askers) if opening else []
--- a/chicorycart/flows/receivers.py
+++ b/chicorycart/flows/receivers.py
@@ -1,6 +1,7 @@
 """Take the messages of other agents on the ownership of flows."""
 
 from chicorycart.address import Address
+from chicorycart.address import pack_address
 from chicorycart.address import unpack_address
 from chicorycart.flows.announce import OwnerAnnouncer
 from chicorycart.flows.claims import Claims
@@ -69,18 +70,25 @@
     ----------
     service : int
         Identifier of the own service.
+    mates : ServiceMates
+        Learns who asked.
     claims : Claims
         Answers on single flows.
     announcer : OwnerAnnouncer
         Answers with the owner record.
     """
 
-    __slots__ = ("service", "claims", "announcer")
+    __slots__ = ("service", "mates", "claims", "announcer")
 
     def __init__(
-        self, service: int, claims: Claims, announcer: OwnerAnnouncer
+        self,
+        service: int,
+        mates: ServiceMates,
+        claims: Claims,
+        announcer: OwnerAnnouncer,
     ):
         self.service = service
+        self.mates = mates
         self.claims = claims
         self.announcer = announcer
 
@@ -94,6 +102,7 @@
         """
         query = decode_query(body)
         check_service(query.service, self.service)
+        self.mates.learn(pack_address(source))
         if query.flow is None:
             self.announcer.answer(source)
         else:
--- a/tests/flows/opening_model.py
+++ b/tests/flows/opening_model.py
@@ -1,7 +1,7 @@
 """A small specification of how opening packets find one owner.
 
 Three agents A, B, C (0, 1, 2) and one flow. In version 1 its candidates are
-A and B; version 2 drains A and makes them B and C. Balancers send along one
+A and B; version 2 drains A, strengthens C and makes them C and B. Balancers send along one
 of four chains: of version 1, of version 1 while A is suspected, of version
 2, and of version 2 by a balancer that knows no version before.
 
@@ -16,17 +16,16 @@
 from minicheck import Protocol
 
 AGENTS = (0, 1, 2)
-CANDIDATES = {1: (0, 1), 2: (1, 2)}
-OWN_CHAINS = {1: (0, 1), 2: (1, 2, 0)}
+CANDIDATES = {1: (0, 1), 2: (2, 1)}
+OWN_CHAINS = {1: (0, 1), 2: (2, 1, 0)}
 ACTIVE = {1: (True, True, True), 2: (False, True, True)}
 CHAINS = {
     "old": (1, (0, 1)),
     "old, A suspected": (1, (1, 0)),
-    "new": (2, (1, 2, 0)),
-    "new, no history": (2, (1, 2)),
+    "new": (2, (2, 1, 0)),
+    "new, no history": (2, (2, 1)),
 }
 UNKNOWN = -2
-ASKED = -1
 UNDECIDED = -1
 RESET = -2
 MAX_HOPS = 6
@@ -36,13 +35,14 @@
 class Rules:
     """What the protocol does and what may go wrong.
 
-    The first six are switched off to see the model fail.
+    The first seven are switched off to see the model fail.
     """
 
     asks: bool = True
     remembers: bool = True
     checks_pause: bool = True
     checks_sequence: bool = True
+    tells: bool = True
     yields: bool = True
     numbers: bool = True
     skew: bool = False
@@ -99,6 +99,7 @@
     versions: tuple = (1, 1, 1)
     owns: tuple = (False, False, False)
     memory: tuple = (UNKNOWN, UNKNOWN, UNKNOWN)
+    askers: tuple = (frozenset(), frozenset(), frozenset())
     waiting: tuple = (None, None, None)
     asked: tuple = (0, 0, 0)
     resumed: tuple = (False, False, False)
@@ -299,7 +300,7 @@
             and own == CHAINS[syn.chain][1]
             and own == CANDIDATES[state.versions[syn.to]]
             and self.is_settled(state, syn.to)
-            and not (self.rules.remembers and state.memory[syn.to] == ASKED)
+            and not (self.rules.remembers and state.askers[syn.to])
         )
 
     def ask(self, state, syn):
@@ -307,6 +308,8 @@
         agents = {*CHAINS[syn.chain][1], *OWN_CHAINS[state.versions[syn.to]]}
         if not self.is_settled(state, syn.to):
             agents |= set(AGENTS)
+        if self.rules.remembers:
+            agents |= state.askers[syn.to]
         agents.discard(syn.to)
         number = state.asked[syn.to] + 1
         waiting = Waiting(syn, frozenset(agents), number, False)
@@ -329,10 +332,11 @@
             if owner == UNKNOWN and self.rules.yields:
                 waiting = put(state.waiting, agent, None)
                 state = state._replace(waiting=waiting)
-        elif state.memory[agent] != query.source and state.memory[agent] >= 0:
-            owner = state.memory[agent] if self.rules.remembers else UNKNOWN
+        elif state.memory[agent] >= 0 and self.rules.remembers:
+            owner = state.memory[agent] if self.rules.tells else UNKNOWN
         if owner == UNKNOWN and state.memory[agent] == UNKNOWN:
-            state = state._replace(memory=put(state.memory, agent, ASKED))
+            askers = state.askers[agent] | {query.source}
+            state = state._replace(askers=put(state.askers, agent, askers))
         return send(state, Answer(query.source, agent, query.number, owner))
 
     def take_answer(self, state, answer):
@@ -399,7 +403,10 @@
 
     def place_at(self, state, syn, other):
         """Send the packet to the agent that is to own the flow."""
-        state = state._replace(memory=put(state.memory, syn.to, other))
+        state = state._replace(
+            memory=put(state.memory, syn.to, other),
+            askers=put(state.askers, syn.to, frozenset()),
+        )
         if syn.hops >= MAX_HOPS:
             return state._replace(has_looped=True)
         return send(state, Syn(other, syn.chain, syn.to, syn.hops + 1))
