Tell those who asked for a flow that it was accepted

Cause: the model with skew and a pause at once: B waited for the paused A while C accepted what A had placed there; B accepted too after its wait. An agent that accepts a flow now tells those who asked; an agent that was asked for a flow asks every mate. Seen: 'if no one tells' fails, all promises hold otherwise (python -m tests.run tests/flows/model.feature).

--- a/chicorycart/agent/opening.py
+++ b/chicorycart/agent/opening.py
@@ -189,9 +189,10 @@
         """Return the other agents that may have accepted the flow."""
         bucket = bucket_of(hash_flow(packet.flow))
         agents = [*forward.chain, *self.mates.chain(bucket)]
-        agents += self.memory.list_askers(packet.flow)
+        askers = self.memory.list_askers(packet.flow)
+        agents += askers
         agents += self.records.owners_of(bucket)
-        if not self.settling.is_settled():
+        if askers or not self.settling.is_settled():
             agents += self.mates.list_others()
         return [
             agent
@@ -250,6 +251,7 @@
             self.output.drop(forward, packet, "flow table full")
         else:
             self.output.keep(forward, packet, reason)
+            self.claims.announce(packet.flow)
 
     def place_at(
         self, forward: Forward, packet: Packet, agent: int, reason: str
--- a/chicorycart/flows/claims.py
+++ b/chicorycart/flows/claims.py
@@ -142,7 +142,7 @@
         asker = pack_address(source)
         owner = self.find_owner(flow, asker)
         if owner is None:
-            self.memory.note_query(flow, asker)
+            self.memory.note_query(flow, asker, query.number)
             if self.is_pending(flow):
                 self.close(flow).claimant.give_up("left to another agent")
         answer = OwnerAnswer(self.service, flow, owner, query.number)
@@ -150,6 +150,20 @@
             MessageKind.OWNER_ANSWER, encode_answer(answer), source
         )
 
+    def announce(self, flow: bytes) -> None:
+        """Tell the agents that asked for a flow that it is owned here now.
+
+        One that still waits for others would accept it otherwise.
+        """
+        own = self.mates.own
+        for asker, number in self.memory.take_askers(flow).items():
+            answer = OwnerAnswer(self.service, flow, own, number)
+            self.sender.send(
+                MessageKind.OWNER_ANSWER,
+                encode_answer(answer),
+                unpack_address(asker),
+            )
+
     def find_owner(self, flow: bytes, asker: int) -> int | None:
         """Return the agent that owns the flow, as far as is known here."""
         own = self.mates.own
@@ -163,14 +177,15 @@
         """Take the answer of another agent to the question asked."""
         pending = self.pending.get(answer.flow)
         agent = pack_address(source)
-        if pending is None or agent not in pending.waiting:
+        if pending is None or answer.number != pending.number:
             return
-        if answer.number != pending.number:
+        is_claim = self.is_claim(answer.owner)
+        if agent not in pending.waiting and not is_claim:
             return
         if self.is_late(pending):
             self.close(answer.flow).claimant.give_up("asked too long ago")
             return
-        if self.is_claim(answer.owner):
+        if is_claim:
             self.close(answer.flow)
             pending.claimant.take_claim(answer.owner)
             return
