--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -1,10 +1,13 @@
 """Builds services, balancers and agents over links in memory."""
 
+from random import Random
+
 from prometheus_client import CollectorRegistry
 
 from chicorycart.address import Address
+from chicorycart.address import pack_address
 from chicorycart.agent.acceptance import TargetAcceptance
-from chicorycart.agent.delivery import Delivery
+from chicorycart.agent.ownership import FlowOwnership
 from chicorycart.balancer.forwarding import ChainCache
 from chicorycart.balancer.forwarding import Forwarder
 from chicorycart.clock import Clock
@@ -15,8 +18,7 @@
 from chicorycart.configuration.model import Target
 from chicorycart.configuration.model import TargetState
 from chicorycart.configuration.store import ConfigurationStore
-from chicorycart.flows.openings import OpeningMemory
-from chicorycart.flows.table import FlowTable
+from chicorycart.flows.mates import ServiceMates
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.placement.chain import NoSuspicions
@@ -93,6 +95,10 @@
         """Keep one packet."""
         self.delivered.append(packet)
 
+    def list_flows(self, entry_key: tuple[str, int, int]) -> list[bytes]:
+        """Return no flows; the host is new."""
+        return []
+
 
 def make_target(number: int, weight: float, state: TargetState) -> Target:
     """Return the target of that number."""
@@ -141,23 +147,24 @@
     )
 
 
-def make_delivery(
+def make_ownership(
     store: ConfigurationStore,
     clock: Clock,
     target: Target,
     host: MemoryHost,
     sender: MemorySender,
     share: float = 0.0,
-) -> Delivery:
-    """Return the delivery of the agent beside a target."""
-    service = store.current.services[SERVICE_NAME]
-    return Delivery(
-        service.identifier,
+) -> FlowOwnership:
+    """Return what the agent beside a target does with packets."""
+    return FlowOwnership(
+        ServiceMates(store, SERVICE_NAME, pack_address(target.agent), clock),
+        host,
         host,
-        FlowTable(clock),
-        OpeningMemory(clock),
-        TargetAcceptance(store, service.name, target.name),
+        TargetAcceptance(store, SERVICE_NAME, target.name),
         sender,
+        1,
+        clock,
+        Random(1),
         DecisionLog(share),
         CollectorRegistry(),
     )
--- a/measure/packet_path.py
+++ b/measure/packet_path.py
@@ -11,8 +11,11 @@
 from logbook import NullHandler
 
 from chicorycart.address import Address
-from measure.fleet import make_delivery
+from chicorycart.agent.ownership import FlowOwnership
+from chicorycart.defaults import SETTLING_SECONDS
+from chicorycart.defaults import TICK_SECONDS
 from measure.fleet import make_forwarder
+from measure.fleet import make_ownership
 from measure.fleet import make_service
 from measure.fleet import make_store
 from measure.fleet import ManualClock
@@ -37,6 +40,14 @@
     return round(max(rates))
 
 
+def settle(clock: ManualClock, ownerships: list[FlowOwnership]) -> None:
+    """Let the time pass after which agents rely on what they know."""
+    while clock.time < SETTLING_SECONDS:
+        clock.time += TICK_SECONDS
+        for ownership in ownerships:
+            ownership.settling.tick()
+
+
 class PathBench:
     """One balancer and the agents of one service.
 
@@ -54,12 +65,14 @@
         self.sender = MemorySender()
         self.host = MemoryHost()
         self.forwarder = make_forwarder(store, self.sender, share)
-        self.agents = {
-            target.agent: make_delivery(
+        ownerships = {
+            target.agent: make_ownership(
                 store, clock, target, self.host, self.sender, share
             )
             for target in self.service.targets
         }
+        settle(clock, list(ownerships.values()))
+        self.agents = {a: o.delivery for a, o in ownerships.items()}
         self.openings = [make_opening(flow) for flow in range(FLOWS)]
         self.packets = [make_data(flow, random) for flow in range(FLOWS)]
 
--- a/tests/packets/forward_steps.py
+++ b/tests/packets/forward_steps.py
@@ -16,7 +16,7 @@
 from chicorycart.packets.forward import decode_forward
 from chicorycart.packets.forward import encode_forward
 from chicorycart.packets.forward import Forward
-from measure.fleet import make_delivery
+from measure.fleet import make_ownership
 from measure.fleet import make_service
 from measure.fleet import make_store
 from measure.fleet import ManualClock
@@ -135,15 +135,18 @@
 def agent_with_flow(context):
     service = make_service([1.0])
     clock = ManualClock()
-    store = make_store(clock, service)
     context.host = MemoryHost()
     context.registry = CollectorRegistry()
     context.link = DatagramLink(None, AllSources(), context.registry)
-    delivery = make_delivery(
-        store, clock, service.targets[0], context.host, MemorySender()
-    )
-    context.link.register(MessageKind.FORWARD, delivery)
     context.service = service
+    ownership = make_ownership(
+        make_store(clock, service),
+        clock,
+        service.targets[0],
+        context.host,
+        MemorySender(),
+    )
+    context.link.register(MessageKind.FORWARD, ownership.delivery)
     deliver(context, make_opening(1))
 
 
