Place opening flows by load among four candidates, checked twice

Cause: an agent kept every opening flow while its target took new work. The first agent passes a flow on to the clearly least loaded candidate; that one knows its own load exactly and may pass it on once more, never back, so that no two agents send a flow to and fro. Owner records go to every mate, so more candidates cost none of them. Seen failing first: without the choice, the second check, its bound, the exclusion of the placer and the choice of a draining agent, one or two scenarios of placement.feature were red.

--- a/chicorycart/agent/acceptance.py
+++ b/chicorycart/agent/acceptance.py
@@ -2,6 +2,7 @@
 
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.packets.forward import Forward
+from chicorycart.placement.choice import LoadChoice
 
 
 class TargetAcceptance:
@@ -13,17 +14,30 @@
         The configuration in force.
     service, target : str
         The target that the agent stands beside, and its service.
+    choice : LoadChoice or None
+        Compares loads; without one the target keeps what it is offered.
     """
 
-    __slots__ = ("store", "service", "target")
+    __slots__ = ("store", "service", "target", "choice")
 
-    def __init__(self, store: ConfigurationStore, service: str, target: str):
+    def __init__(
+        self,
+        store: ConfigurationStore,
+        service: str,
+        target: str,
+        choice: LoadChoice | None = None,
+    ):
         self.store = store
         self.service = service
         self.target = target
+        self.choice = choice
 
     def accepts(self, forward: Forward) -> bool:
         """Tell whether the configuration lets the target take new work."""
         service = self.store.current.services.get(self.service)
         target = service.find_target(self.target) if service else None
         return target is not None and target.takes_new_work
+
+    def choose_mate(self, mates: list[int]) -> int | None:
+        """Return the less loaded mate that gets a flow, if there is one."""
+        return self.choice.choose(mates) if self.choice else None
--- a/chicorycart/agent/opening.py
+++ b/chicorycart/agent/opening.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from chicorycart.agent.output import PacketOutput
+from chicorycart.defaults import MAX_CHOICE_HOPS
 from chicorycart.flows.claims import Claims
 from chicorycart.flows.mates import ServiceMates
 from chicorycart.flows.openings import OpeningMemory
@@ -20,6 +21,9 @@
     def accepts(self, forward: Forward) -> bool:
         """Tell whether to keep the flow rather than pass it on."""
 
+    def choose_mate(self, mates: list[int]) -> int | None:
+        """Return the less loaded mate that gets a flow, if there is one."""
+
 
 class WaitingOpening:
     """An opening packet that waits until the other agents have answered.
@@ -172,24 +176,47 @@
         ]
 
     def take(self, forward: Forward, packet: Packet) -> None:
-        """Take a flow that another agent placed here."""
-        if self.mates.is_active(self.mates.own):
+        """Take a flow that another agent placed here.
+
+        The other agent may have placed it by an old load, so it can go on
+        once more, but never back.
+        """
+        if not self.mates.is_active(self.mates.own):
+            self.decide(forward, packet)
+        elif forward.hops > MAX_CHOICE_HOPS:
             self.accept(forward, packet, "placed here")
         else:
-            self.decide(forward, packet)
+            others = self.list_takers(self.list_candidates(packet))
+            placer = forward.chain[forward.position]
+            rest = [agent for agent in others if agent != placer]
+            self.settle(forward, packet, rest, "placed here")
 
     def decide(self, forward: Forward, packet: Packet) -> None:
         """Accept a flow that nobody owns, or place it elsewhere."""
-        bucket = bucket_of(hash_flow(packet.flow))
-        candidates = self.mates.candidates(bucket)
+        candidates = self.list_candidates(packet)
         others = self.list_takers(candidates)
         if self.is_candidate(forward, candidates) and self.accepts(forward):
-            self.accept(forward, packet, "accepted")
+            self.settle(forward, packet, others, "accepted")
         elif others:
-            self.place_at(forward, packet, others[0], "not accepted")
+            mate = self.acceptance.choose_mate(others) or others[0]
+            self.place_at(forward, packet, mate, "not accepted")
         else:
             self.accept(forward, packet, "last of chain")
 
+    def settle(
+        self, forward: Forward, packet: Packet, others: list[int], reason: str
+    ) -> None:
+        """Accept a flow unless a less loaded mate should have it."""
+        mate = self.acceptance.choose_mate(others)
+        if mate is None:
+            self.accept(forward, packet, reason)
+        else:
+            self.place_at(forward, packet, mate, "less loaded")
+
+    def list_candidates(self, packet: Packet) -> list[int]:
+        """Return the agents that may accept the flow of the packet."""
+        return self.mates.candidates(bucket_of(hash_flow(packet.flow)))
+
     def list_takers(self, candidates: list[int]) -> list[int]:
         """Return the other candidates that a flow may be placed at.
 
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -3,7 +3,7 @@
 BUCKETS_PER_SERVICE = 4096
 """Buckets that the flows of one service are hashed into."""
 
-CURRENT_CANDIDATES = 2
+CURRENT_CANDIDATES = 4
 """Targets of the version in force that may accept an opening flow."""
 
 CHOICE_HYSTERESIS = 0.1
@@ -12,7 +12,10 @@
 SENT_FLOW_WEIGHT = 2
 """Flows that each flow passed on since a heartbeat counts for."""
 
-MAX_CHAIN_LENGTH = 6
+MAX_CHOICE_HOPS = 2
+"""Hops after which a placed flow is no longer moved because of load."""
+
+MAX_CHAIN_LENGTH = 8
 """Targets that one packet may be passed along."""
 
 MAX_HOPS = 12
