Send packets of placed flows straight to their owner

Cause: with four candidates the packets of a flow walk up to three agents along the chain before they reach its owner. Now the first agent remembers where it placed a flow while its packets keep coming. The position in the chain stays, so an agent that does not own the flow goes on along the whole chain; a lost memory costs hops and no flow. Ruled out: longer expiry in the memory of openings, which also answers claims and must not outlive the handshake. Seen failing first: without the hint, its renewal, the bound to packets from balancers and the check of suspicion, a scenario of placement.feature was red each. can_take moved to ServiceMates, since both use it.

--- a/chicorycart/agent/opening.py
+++ b/chicorycart/agent/opening.py
@@ -114,7 +114,7 @@
         placed_at = self.memory.recall(packet.flow)
         if self.claims.is_pending(packet.flow):
             self.output.drop(forward, packet, "waits already")
-        elif placed_at is not None and self.can_take(placed_at):
+        elif placed_at is not None and self.mates.can_take(placed_at):
             self.place_at(forward, packet, placed_at, "placed before")
         elif forward.placed:
             self.take(forward, packet)
@@ -123,12 +123,6 @@
         else:
             self.ask(forward, packet)
 
-    def can_take(self, agent: int) -> bool:
-        """Tell whether packets can be sent to the agent."""
-        return self.mates.is_known(agent) and not self.mates.is_suspected(
-            agent
-        )
-
     def may_decide_alone(self, forward: Forward, packet: Packet) -> bool:
         """Tell whether no other agent can have accepted the flow.
 
@@ -172,7 +166,7 @@
         return [
             agent
             for agent in dict.fromkeys(agents)
-            if agent != self.mates.own and self.can_take(agent)
+            if agent != self.mates.own and self.mates.can_take(agent)
         ]
 
     def take(self, forward: Forward, packet: Packet) -> None:
@@ -227,7 +221,7 @@
             agent
             for agent in candidates
             if agent != self.mates.own
-            and self.can_take(agent)
+            and self.mates.can_take(agent)
             and (self.mates.is_active(agent) or not is_own_turn)
         ]
 
--- a/chicorycart/agent/ownership.py
+++ b/chicorycart/agent/ownership.py
@@ -118,7 +118,15 @@
             table,
             output,
             self.openings,
-            OwnerSearch(output, mates, records, settling, random),
+            OwnerSearch(
+                output,
+                mates,
+                records,
+                memory,
+                OpeningMemory(clock),
+                settling,
+                random,
+            ),
         )
 
     def list_receivers(self) -> dict[MessageKind, Receiver]:
--- a/chicorycart/agent/search.py
+++ b/chicorycart/agent/search.py
@@ -6,6 +6,7 @@
 from chicorycart.agent.output import PacketOutput
 from chicorycart.defaults import MAX_SEARCH_LENGTH
 from chicorycart.flows.mates import ServiceMates
+from chicorycart.flows.openings import OpeningMemory
 from chicorycart.flows.records import OwnerRecords
 from chicorycart.flows.settling import Settling
 from chicorycart.packets.forward import Forward
@@ -17,6 +18,10 @@
 class OwnerSearch:
     """Passes packets along the chain and to the recorded owners.
 
+    The first agent of a chain sends packets straight to where it placed
+    their flow, for as long as they keep coming. If it has forgotten, or the
+    flow is not there, they go along the chain.
+
     Parameters
     ----------
     output : PacketOutput
@@ -25,6 +30,10 @@
         The agents of the service.
     records : OwnerRecords
         Owners of displaced flows.
+    memory : OpeningMemory
+        Flows that were placed elsewhere.
+    hints : OpeningMemory
+        Where packets of open flows were sent before.
     settling : Settling
         Tells how to end a search that found nobody.
     random : Random
@@ -32,24 +41,40 @@
         not stop every resend of a packet.
     """
 
-    __slots__ = ("output", "mates", "records", "settling", "random")
+    __slots__ = (
+        "output",
+        "mates",
+        "records",
+        "memory",
+        "hints",
+        "settling",
+        "random",
+    )
 
     def __init__(
         self,
         output: PacketOutput,
         mates: ServiceMates,
         records: OwnerRecords,
+        memory: OpeningMemory,
+        hints: OpeningMemory,
         settling: Settling,
         random: Random,
     ):
         self.output = output
         self.mates = mates
         self.records = records
+        self.memory = memory
+        self.hints = hints
         self.settling = settling
         self.random = random
 
     def pass_on(self, forward: Forward, packet: Packet) -> None:
         """Send the packet to the next agent that may own its flow."""
+        agent = self.recall(forward, packet)
+        if agent is not None:
+            self.output.send_to(forward, packet, agent, "placed there")
+            return
         bucket = bucket_of(hash_flow(packet.flow))
         self.extend(forward, self.list_recorded(bucket))
         if not self.has_next(forward):
@@ -63,6 +88,21 @@
         else:
             self.end(forward, packet)
 
+    def recall(self, forward: Forward, packet: Packet) -> int | None:
+        """Return where the flow of a packet from a balancer was placed.
+
+        The position stays as it is, so that an agent that does not own the
+        flow goes on along the whole chain.
+        """
+        if forward.hops > 1:
+            return None
+        flow = packet.flow
+        agent = self.hints.recall(flow) or self.memory.recall(flow)
+        if agent is None or not self.mates.can_take(agent):
+            return None
+        self.hints.remember(flow, agent)
+        return agent
+
     def end(self, forward: Forward, packet: Packet) -> None:
         """Give up the search.
 
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -18,7 +18,7 @@
 MAX_CHAIN_LENGTH = 8
 """Targets that one packet may be passed along."""
 
-MAX_HOPS = 12
+MAX_HOPS = 14
 """Times that one packet may be forwarded before it is dropped."""
 
 CHAIN_CACHE_ENTRIES = 65_536
--- a/tests/placement/placement.feature
+++ b/tests/placement/placement.feature
@@ -30,3 +30,29 @@
     Then at most 0 connections lie on agent 1
     And no opening packet went over more than 1 agent after the first
     And every connection lies on one host and answers
+
+  Scenario: Packets of a placed flow go straight to its owner
+    When agent 5 has 0 flows in progress and the others 50
+    And 30 callers open connections
+    And the callers send their requests
+    And 60 seconds pass
+    And the callers send their requests
+    And 60 seconds pass
+    And the callers send their requests
+    Then no later packet went over more than 1 agent after the first
+    And every connection lies on one host and answers
+
+  Scenario: Agents that remember wrong owners find the right one
+    When agent 5 has 0 flows in progress and the others 50
+    And 30 callers open connections
+    And 10 seconds pass
+    And every agent remembers a wrong owner of every connection
+    And the callers send their requests
+    Then every connection lies on one host and answers
+
+  Scenario: Packets are not sent straight to a suspected agent
+    When 1 callers open connections
+    And 10 seconds pass
+    And every agent remembers a wrong owner of every connection
+    Then an agent sends a packet of it straight there
+    But not once it suspects the other
