Keep a balancer's chains over versions that leave their service alone

Now what the chains of a service depend on (its state, replaced states, suspected agents) is compared when a packet of it comes, at a change and when a replaced state expires. The version moved out of the header, before it, so that it does not make every header new. A service without targets is counted in place of an IndexError. Ruled out: one table of all chains (clearing one service scans it all).

--- a/chicorycart/balancer/forwarding.py
+++ b/chicorycart/balancer/forwarding.py
@@ -1,68 +1,19 @@
 """Sends each packet of a caller to the first agent of its flow's chain."""
 
-from collections import OrderedDict
-
 from prometheus_client import CollectorRegistry
 from prometheus_client import Counter
 
 from chicorycart.address import Address
-from chicorycart.address import pack_address
-from chicorycart.address import unpack_address
-from chicorycart.configuration.model import Configuration
-from chicorycart.configuration.model import Service
+from chicorycart.balancer.chains import ChainCache
 from chicorycart.configuration.store import ConfigurationStore
-from chicorycart.defaults import CHAIN_CACHE_ENTRIES
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Sender
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.packets.errors import PacketError
-from chicorycart.packets.forward import encode_forward
-from chicorycart.packets.forward import Forward
+from chicorycart.packets.forward import encode_version
 from chicorycart.packets.ipv4 import hash_flow
 from chicorycart.packets.ipv4 import parse_packet
 from chicorycart.placement.chain import bucket_of
-from chicorycart.placement.chain import build_chain
-from chicorycart.placement.chain import Suspicions
-
-
-class ChainCache:
-    """Chains by service and bucket, built when first needed.
-
-    Parameters
-    ----------
-    store : ConfigurationStore
-        Gives the service's current and replaced states.
-    suspicions : Suspicions
-        Moves suspected agents to the end of a chain.
-    """
-
-    __slots__ = ("store", "suspicions", "chains")
-
-    def __init__(self, store: ConfigurationStore, suspicions: Suspicions):
-        self.store = store
-        self.suspicions = suspicions
-        self.chains: OrderedDict[tuple[int, int], list[int]] = OrderedDict()
-
-    def clear(self) -> None:
-        """Forget all chains, since what they depend on has changed."""
-        self.chains.clear()
-
-    def find(self, service: Service, bucket: int) -> list[int]:
-        """Return the packed addresses of the chain of a bucket."""
-        key = (service.identifier, bucket)
-        chain = self.chains.get(key)
-        if chain is None:
-            chain = self.build(service, bucket)
-            self.chains[key] = chain
-            if len(self.chains) > CHAIN_CACHE_ENTRIES:
-                self.chains.popitem(last=False)
-        return chain
-
-    def build(self, service: Service, bucket: int) -> list[int]:
-        """Build the chain of a bucket anew."""
-        replaced = self.store.list_replaced(service.name)
-        targets = build_chain(service, replaced, bucket, self.suspicions)
-        return [pack_address(target.agent) for target in targets]
 
 
 class Forwarder:
@@ -82,7 +33,16 @@
         Where the counters are registered.
     """
 
-    __slots__ = ("store", "chains", "sender", "decisions", "packets")
+    __slots__ = (
+        "store",
+        "chains",
+        "sender",
+        "decisions",
+        "forwarded",
+        "malformed",
+        "unserved",
+        "untargeted",
+    )
 
     def __init__(
         self,
@@ -96,46 +56,44 @@
         self.chains = chains
         self.sender = sender
         self.decisions = decisions
-        self.packets = Counter(
+        packets = Counter(
             "chicorycart_balancer_packets",
             "Packets from the fabric, by what became of them.",
             ["outcome"],
             registry=registry,
         )
-        store.subscribe(self)
-
-    def change_configuration(self, configuration: Configuration) -> None:
-        """Drop the chains that another version gave."""
-        self.chains.clear()
+        self.forwarded = packets.labels("forwarded")
+        self.malformed = packets.labels("malformed")
+        self.unserved = packets.labels("no service")
+        self.untargeted = packets.labels("no target")
 
     def take(self, data: bytes, source: Address) -> None:
         """Forward one packet of a caller."""
         try:
             packet = parse_packet(data)
         except PacketError:
-            self.packets.labels("malformed").inc()
+            self.malformed.inc()
             return
         configuration = self.store.current
         service = configuration.by_entry.get(packet.entry)
         if service is None:
-            self.packets.labels("no service").inc()
+            self.unserved.inc()
             return
         flow_hash = hash_flow(packet.flow)
-        chain = self.chains.find(service, bucket_of(flow_hash))
-        forward = Forward(
-            configuration.version, service.identifier, chain, data, hops=1
-        )
-        self.sender.send(
-            MessageKind.FORWARD,
-            encode_forward(forward),
-            unpack_address(chain[0]),
-        )
-        self.packets.labels("forwarded").inc()
-        self.decisions.record(
-            packet.flow,
-            flow_hash,
-            configuration.version,
-            chain,
-            f"{chain[0]:x}",
-            "first of chain",
-        )
+        route = self.chains.find(service, bucket_of(flow_hash))
+        if route.first is None:
+            self.untargeted.inc()
+            return
+        version = configuration.version
+        body = encode_version(version) + route.header + data
+        self.sender.send(MessageKind.FORWARD, body, route.first)
+        self.forwarded.inc()
+        if self.decisions.covers(flow_hash):
+            self.decisions.record(
+                packet.flow,
+                flow_hash,
+                version,
+                route.chain,
+                f"{route.chain[0]:x}",
+                "first of chain",
+            )
--- a/chicorycart/configuration/store.py
+++ b/chicorycart/configuration/store.py
@@ -1,6 +1,7 @@
 """Holds the configuration in force, which only moves upwards."""
 
 from collections import deque
+from math import inf
 from typing import Protocol
 
 from chicorycart.clock import Clock
@@ -98,5 +99,14 @@
         return [
             replaced.service
             for replaced in self.replaced.get(name, ())
-            if replaced.at >= oldest
+            if replaced.at > oldest
         ]
+
+    def next_expiry(self, name: str) -> float:
+        """Return when the next replaced state of a service will be dropped.
+
+        Infinity if none is listed.
+        """
+        oldest = self.clock.now() - VERSION_HISTORY_SECONDS
+        listed = [r.at for r in self.replaced.get(name, ()) if r.at > oldest]
+        return min(listed, default=inf) + VERSION_HISTORY_SECONDS
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -22,7 +22,7 @@
 """Times that one packet may be forwarded before it is dropped."""
 
 CHAIN_CACHE_ENTRIES = 65_536
-"""Chains a balancer keeps ready; the least recently used go first."""
+"""Chains a balancer keeps ready; least recently used services go first."""
 
 VERSION_HISTORY = 4
 """Replaced versions whose candidates still stand in a chain."""
--- a/chicorycart/operation/decisions.py
+++ b/chicorycart/operation/decisions.py
@@ -1,5 +1,7 @@
 """Logs routing and placement decisions, sampled by flow."""
 
+from collections.abc import Sequence
+
 from logbook import Logger
 
 from chicorycart.packets.ipv4 import describe_flow
@@ -25,17 +27,21 @@
     def __init__(self, share: float):
         self.limit = int(share * HASH_RANGE)
 
+    def covers(self, flow_hash: int) -> bool:
+        """Tell whether decisions on the flow are logged."""
+        return flow_hash < self.limit
+
     def record(
         self,
         flow: bytes,
         flow_hash: int,
         version: int,
-        chain: list[int],
+        chain: Sequence[int],
         choice: str,
         reason: str,
     ) -> None:
         """Log where a packet of the flow went, and why."""
-        if flow_hash >= self.limit:
+        if not self.covers(flow_hash):
             return
         LOGGER.info(
             "event=decision flow={} version={} chain={} choice={} reason={}",
--- a/chicorycart/packets/forward.py
+++ b/chicorycart/packets/forward.py
@@ -1,12 +1,14 @@
 """The message that carries a caller's packet between processes.
 
-A message is the size of its header in two bytes, the header as a Cap'n
-Proto message, and the packet as it came. Headers repeat, so both sides keep
-those that they used last.
+A message is the configuration version in eight bytes, the size of its
+header in two, the header as a Cap'n Proto message, and the packet as it
+came. Headers repeat, so both sides keep those that they used last; the
+version stands apart, since it alone changes often.
 """
 
 from functools import lru_cache
 from pathlib import Path
+from struct import Struct
 
 import capnp
 
@@ -15,7 +17,9 @@
 from chicorycart.packets.errors import PacketError
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("messages.capnp")))
+VERSION_BYTES = 8
 SIZE_BYTES = 2
+PREAMBLE = Struct(">QH")
 
 
 class ForwardHeader:
@@ -23,14 +27,13 @@
 
     Attributes
     ----------
-    version, service, position, hops, placed, adopter, returned
+    service, position, hops, placed, adopter, returned
         As in `Forward`.
     chain : tuple of int
         Packed addresses of the agents to try, in order.
     """
 
     __slots__ = (
-        "version",
         "service",
         "chain",
         "position",
@@ -42,7 +45,6 @@
 
     def __init__(
         self,
-        version: int,
         service: int,
         chain: tuple[int, ...],
         position: int,
@@ -51,7 +53,6 @@
         adopter: int,
         returned: bool,
     ):
-        self.version = version
         self.service = service
         self.chain = chain
         self.position = position
@@ -123,13 +124,7 @@
 
 def encode_forward(forward: Forward) -> bytes:
     """Return the message in wire form."""
-    return encode_prefix(forward) + forward.packet
-
-
-def encode_prefix(forward: Forward) -> bytes:
-    """Return all of the message that goes before the packet."""
-    return encode_header(
-        forward.version,
+    header = encode_header(
         forward.service,
         tuple(forward.chain),
         forward.position,
@@ -138,22 +133,26 @@
         forward.adopter,
         forward.returned,
     )
+    return encode_version(forward.version) + header + forward.packet
+
+
+def encode_version(version: int) -> bytes:
+    """Return what goes before the header."""
+    return version.to_bytes(VERSION_BYTES, "big")
 
 
 @lru_cache(FORWARD_HEADER_CACHE_ENTRIES)
 def encode_header(
-    version: int,
     service: int,
     chain: tuple[int, ...],
-    position: int,
-    hops: int,
-    placed: bool,
-    adopter: int,
-    returned: bool,
+    position: int = 0,
+    hops: int = 0,
+    placed: bool = False,
+    adopter: int = 0,
+    returned: bool = False,
 ) -> bytes:
     """Return a header in wire form, with its size before it."""
     message = SCHEMA.ForwardHeader.new_message(
-        version=version,
         service=service,
         chain=chain,
         position=position,
@@ -175,12 +174,15 @@
         If its header is truncated, too long or no `ForwardHeader`, or if
         its position lies beyond its chain.
     """
-    end = SIZE_BYTES + int.from_bytes(body[:SIZE_BYTES], "big")
-    if not SIZE_BYTES < end <= MAX_FORWARD_HEADER_BYTES or end > len(body):
+    if len(body) < PREAMBLE.size:
+        raise PacketError("shorter than a preamble")
+    version, size = PREAMBLE.unpack_from(body)
+    end = PREAMBLE.size + size
+    if not 0 < size <= MAX_FORWARD_HEADER_BYTES or end > len(body):
         raise PacketError("impossible size of a header")
-    header = decode_header(body[SIZE_BYTES:end])
+    header = decode_header(body[PREAMBLE.size : end])
     return Forward(
-        header.version,
+        version,
         header.service,
         list(header.chain),
         body[end:],
@@ -204,7 +206,6 @@
     try:
         with SCHEMA.ForwardHeader.from_bytes(data) as message:
             header = ForwardHeader(
-                message.version,
                 message.service,
                 tuple(message.chain),
                 message.position,
--- a/chicorycart/packets/messages.capnp
+++ b/chicorycart/packets/messages.capnp
@@ -2,12 +2,11 @@
 
 struct ForwardHeader {
   # Goes before a caller's packet on its way along the chain of a flow.
-  version @0 :UInt64;        # configuration version that gave the chain
-  service @1 :UInt64;        # hash of the service's name
-  chain @2 :List(UInt64);    # agents: IPv4 address, port in the low 16 bits
-  position @3 :UInt8;        # index of the agent this copy is sent to
-  hops @4 :UInt8;            # times the packet has been sent
-  placed @5 :Bool;           # an earlier agent chose this one for the flow
-  adopter @6 :UInt64;        # agent that adopts the flow if nobody owns it
-  returned @7 :Bool;         # nobody owned the flow; this is its adopter
+  service @0 :UInt64;        # hash of the service's name
+  chain @1 :List(UInt64);    # agents: IPv4 address, port in the low 16 bits
+  position @2 :UInt8;        # index of the agent this copy is sent to
+  hops @3 :UInt8;            # times the packet has been sent
+  placed @4 :Bool;           # an earlier agent chose this one for the flow
+  adopter @5 :UInt64;        # agent that adopts the flow if nobody owns it
+  returned @6 :Bool;         # nobody owned the flow; this is its adopter
 }
--- a/tests/packets/forward_steps.py
+++ b/tests/packets/forward_steps.py
@@ -81,8 +81,8 @@
         header = len(body) - len(forward.packet)
         end = data.draw(strategies.integers(0, header - 1))
         assert read(body[:end]) is None
-        beyond = (header + 1 - 2).to_bytes(2, "big")
-        assert read(beyond + body[2:header]) is None
+        beyond = (header + 1 - 10).to_bytes(2, "big")
+        assert read(body[:8] + beyond + body[10:header]) is None
 
     check()
 
@@ -107,7 +107,7 @@
     @for_all(strategies.binary(max_size=200))
     def check(data):
         check_position(data)
-        check_position(len(data).to_bytes(2, "big") + data)
+        check_position(bytes(8) + len(data).to_bytes(2, "big") + data)
 
     check()
 
