--- a/chicorycart/agent/output.py
+++ b/chicorycart/agent/output.py
@@ -44,7 +44,15 @@
         Where the counters are registered.
     """
 
-    __slots__ = ("host", "table", "mates", "sender", "decisions", "packets")
+    __slots__ = (
+        "host",
+        "table",
+        "mates",
+        "sender",
+        "decisions",
+        "packets",
+        "counters",
+    )
 
     def __init__(
         self,
@@ -66,6 +74,7 @@
             ["outcome"],
             registry=registry,
         )
+        self.counters: dict[str, Counter] = {}
 
     def keep(self, forward: Forward, packet: Packet, reason: str) -> None:
         """Own the flow and deliver its packet."""
@@ -108,7 +117,10 @@
 
     def count(self, outcome: str) -> None:
         """Count what became of a packet."""
-        self.packets.labels(outcome).inc()
+        counter = self.counters.get(outcome)
+        if counter is None:
+            counter = self.counters[outcome] = self.packets.labels(outcome)
+        counter.inc()
 
     def record(
         self, forward: Forward, packet: Packet, choice: str, reason: str
