Keep unpacked addresses and skip decisions that are not logged

Cause: each packet passed on made an IPv4Address, and arguments for a log line that was not written.

--- a/chicorycart/address.py
+++ b/chicorycart/address.py
@@ -1,9 +1,11 @@
 """An IPv4 address with a port, as sockets and messages use it."""
 
+from functools import lru_cache
 from ipaddress import AddressValueError
 from ipaddress import IPv4Address
 from typing import NamedTuple
 
+from chicorycart.defaults import PACKED_ADDRESS_CACHE_ENTRIES
 from chicorycart.errors import ChicorycartError
 
 PORT_BITS = 16
@@ -54,6 +56,7 @@
     return int(IPv4Address(address.host)) << PORT_BITS | address.port
 
 
+@lru_cache(PACKED_ADDRESS_CACHE_ENTRIES)
 def unpack_address(number: int) -> Address:
     """Reverse `pack_address`.
 
--- a/chicorycart/agent/output.py
+++ b/chicorycart/agent/output.py
@@ -126,11 +126,13 @@
         self, forward: Forward, packet: Packet, choice: str, reason: str
     ) -> None:
         """Log the decision on a packet."""
-        self.decisions.record(
-            packet.flow,
-            hash_flow(packet.flow),
-            forward.version,
-            forward.chain,
-            choice,
-            reason,
-        )
+        flow_hash = hash_flow(packet.flow)
+        if self.decisions.covers(flow_hash):
+            self.decisions.record(
+                packet.flow,
+                flow_hash,
+                forward.version,
+                forward.chain,
+                choice,
+                reason,
+            )
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -339,3 +339,6 @@
 
 MAX_PENDING_OPENINGS = 4_096
 """Opening packets of one agent that wait for claims."""
+
+PACKED_ADDRESS_CACHE_ENTRIES = 4_096
+"""Unpacked addresses that a process keeps ready."""
