--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -3,6 +3,7 @@
 from asyncio import create_task
 from asyncio import Event
 from random import Random
+from time import time
 from time import time_ns
 from typing import Any
 
@@ -12,6 +13,8 @@
 from chicorycart.agent.acceptance import TargetAcceptance
 from chicorycart.agent.host import DecapsulatingHost
 from chicorycart.agent.kernel import KernelConnections
+from chicorycart.agent.load import FlowLoad
+from chicorycart.agent.membership import AgentMembership
 from chicorycart.agent.ownership import FlowOwnership
 from chicorycart.agent.pages import list_pages
 from chicorycart.clock import LoopClock
@@ -27,12 +30,13 @@
 from chicorycart.flows.mates import ServiceMates
 from chicorycart.links.datagrams import DatagramLink
 from chicorycart.links.sockets import DatagramSocket
-from chicorycart.membership.sources import follow_instances
+from chicorycart.membership.follow import InstanceFollower
+from chicorycart.membership.incarnation import Incarnation
+from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.sources import KnownSources
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.operation.endpoints import serve_endpoints
 from chicorycart.requests.build import build_gateway
-from chicorycart.requests.mates import NoMateLoads
 from chicorycart.requests.server import RequestServer
 from chicorycart.settings.model import AgentSettings
 
@@ -52,7 +56,7 @@
         self.settings = settings
         self.registry = CollectorRegistry()
         self.store = ConfigurationStore(clock)
-        self.sources = KnownSources()
+        self.sources = KnownSources(clock)
         self.store.subscribe(self.sources)
         self.data_socket = DatagramSocket(daemon.data)
         self.link = DatagramLink(self.data_socket, self.sources, self.registry)
@@ -72,11 +76,24 @@
         )
         for kind, receiver in self.ownership.list_receivers().items():
             self.link.register(kind, receiver)
+        self.membership = AgentMembership(
+            settings,
+            clock,
+            self.store,
+            FlowLoad(
+                self.ownership.table,
+                self.store,
+                settings.service,
+                settings.target,
+            ),
+            self.link,
+            Incarnation(time()),
+            PauseDetector(clock),
+            Random(),
+        )
         self.platform = PlatformClient(
             HttpValues(daemon.platform),
-            TokenBucket(
-                LoopClock(), READER_CALLS_PER_SECOND, READER_CALLS_BURST
-            ),
+            TokenBucket(clock, READER_CALLS_PER_SECOND, READER_CALLS_BURST),
         )
         self.reader = PlatformReader(
             self.platform,
@@ -85,6 +102,11 @@
             Backoff(Random()),
             ConfigurationMetrics(self.registry),
         )
+        self.instances = InstanceFollower(
+            self.platform, Random(), self.registry
+        )
+        self.instances.subscribe(self.sources)
+        self.instances.subscribe(self.membership.balancers)
         self.stopping = False
         self.requests: RequestServer | None = None
         if settings.gateway is not None:
@@ -92,11 +114,12 @@
                 settings,
                 self.store,
                 self.sources,
-                NoMateLoads(),
+                self.membership.mates,
                 clock,
                 Random(),
                 self.registry,
             )
+            self.membership.use_load(gateway)
             self.requests = RequestServer(gateway)
 
     def is_ready(self) -> bool:
@@ -119,6 +142,10 @@
             "requests": self.requests.gateway.in_progress
             if self.requests is not None
             else 0,
+            "mates": {
+                str(mate): mate.state
+                for mate in self.membership.mates.mates.values()
+            },
         }
 
     async def run(self, stop: Event) -> None:
@@ -129,8 +156,9 @@
         if self.requests is not None:
             self.requests.listen(self.settings.gateway)
         tasks = [
+            create_task(self.instances.run()),
+            self.membership.start(),
             create_task(self.reader.watch_forever()),
-            create_task(follow_instances(self.platform, self.sources)),
             create_task(self.ownership.run()),
         ]
         self.data_socket.start(self.link)
