--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -3,7 +3,7 @@
 BUCKETS_PER_SERVICE = 4096
 """Buckets that the flows of one service are hashed into."""
 
-CURRENT_CANDIDATES = 2
+CURRENT_CANDIDATES = 4
 """Targets of the version in force that may accept an opening flow."""
 
 CHOICE_HYSTERESIS = 0.1
@@ -12,14 +12,17 @@
 SENT_FLOW_WEIGHT = 2
 """Flows that each flow passed on since a heartbeat counts for."""
 
-MAX_CHAIN_LENGTH = 6
+MAX_CHOICE_HOPS = 2
+"""Hops after which a placed flow is no longer moved because of load."""
+
+MAX_CHAIN_LENGTH = 8
 """Targets that one packet may be passed along."""
 
-MAX_HOPS = 12
+MAX_HOPS = 14
 """Times that one packet may be forwarded before it is dropped."""
 
 CHAIN_CACHE_ENTRIES = 65_536
-"""Chains a balancer keeps ready; the least recently used go first."""
+"""Chains a balancer keeps ready; least recently used services go first."""
 
 VERSION_HISTORY = 4
 """Replaced versions whose candidates still stand in a chain."""
@@ -357,6 +360,12 @@
 
 STOP_IDLE_SECONDS = 3.0
 """Quiet time after which a stopping gateway closes idle connections."""
+
+FORWARD_HEADER_CACHE_ENTRIES = 4_096
+"""Headers of forwarded packets that a process keeps ready, each way."""
+
+MAX_FORWARD_HEADER_BYTES = 1_024
+"""Size above which the header of a forwarded packet is refused."""
 MAX_SEARCH_LENGTH = 12
 """Agents that one packet may be offered to while its owner is sought."""
 
@@ -404,3 +413,6 @@
 
 MAX_PENDING_OPENINGS = 4_096
 """Opening packets of one agent that wait for claims."""
+
+PACKED_ADDRESS_CACHE_ENTRIES = 4_096
+"""Unpacked addresses that a process keeps ready."""
--- a/tests/flows/opening_model.py
+++ b/tests/flows/opening_model.py
@@ -18,6 +18,7 @@
 from minicheck import Protocol
 
 AGENTS = (0, 1, 2)
+CANDIDATE_COUNT = 2
 CANDIDATES = {1: (0, 1), 2: (2, 1)}
 OWN_CHAINS = {1: (0, 1), 2: (2, 1, 0)}
 ACTIVE = {1: (True, True, True), 2: (False, True, True)}
