--- a/tests/membership/suspicion_steps.py
+++ b/tests/membership/suspicion_steps.py
@@ -111,7 +111,7 @@
     call(context, context.fleet.start, name, PAST_SECONDS)
 
 
-@when("{seconds:d} s pass")
+@when("{seconds:d} s of virtual time pass")
 def let_pass(context, seconds):
     run_for(context, seconds)
 
@@ -189,7 +189,7 @@
         fleet.network.sides[fleet.nodes[name].link.address] = 1
 
 
-@when("the cut heals")
+@when("the network heals")
 def heal(context):
     context.fleet.network.sides.clear()
 
