Go on from a new port when the path to a peer goes silent

Cause: a device between two processes may lose track of one pair of addresses and ports for good; heartbeats and packets on it were lost for ever while new pairs would have passed.

A mate that is silent, or that says it does not hear this agent, is sent to from a fresh port (PeerLinks), ever more rarely while it stays silent. A balancer, to whom agents do not send by themselves, probes its agents in turn, four a second. Keepalive does the same for a TCP connection by raising. Ruled out: rotating source ports for all traffic (a dead pair would then hurt every peer a little instead of none for long).

--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -8,6 +8,7 @@
 
 from prometheus_client import CollectorRegistry
 
+from chicorycart.address import Address
 from chicorycart.agent.acceptance import TargetAcceptance
 from chicorycart.agent.delivery import Delivery
 from chicorycart.agent.host import DecapsulatingHost
@@ -29,6 +30,7 @@
 from chicorycart.flows.table import FlowTable
 from chicorycart.links.datagrams import DatagramLink
 from chicorycart.links.datagrams import MessageKind
+from chicorycart.links.peers import PeerLinks
 from chicorycart.links.sockets import DatagramSocket
 from chicorycart.membership.follow import InstanceFollower
 from chicorycart.membership.incarnation import Incarnation
@@ -40,6 +42,8 @@
 from chicorycart.requests.server import RequestServer
 from chicorycart.settings.model import AgentSettings
 
+ANY_PORT = 0
+
 
 class Agent:
     """An agent and its parts.
@@ -59,7 +63,10 @@
         self.sources = KnownSources(clock)
         self.store.subscribe(self.sources)
         self.data_socket = DatagramSocket(daemon.data)
-        self.link = DatagramLink(self.data_socket, self.sources, self.registry)
+        self.link = PeerLinks(
+            DatagramLink(self.data_socket, self.sources, self.registry),
+            lambda: DatagramSocket(Address(daemon.data.host, ANY_PORT)),
+        )
         self.table = FlowTable(clock)
         self.delivery = Delivery(
             hash_name(settings.service),
@@ -145,10 +152,10 @@
             self.requests.listen(self.settings.gateway)
         tasks = [
             create_task(self.instances.run()),
-            self.membership.start(),
+            *self.membership.start(),
             create_task(self.reader.watch_forever()),
         ]
-        self.data_socket.start(self.link)
+        self.data_socket.start(self.link.main)
         await stop.wait()
         self.stopping = True
         if self.requests is not None:
@@ -157,4 +164,5 @@
             task.cancel()
         for server in servers:
             server.stop()
+        self.link.close()
         self.data_socket.close()
--- a/chicorycart/agent/membership.py
+++ b/chicorycart/agent/membership.py
@@ -9,13 +9,14 @@
 from chicorycart.configuration.model import hash_name
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.links.datagrams import MessageKind
-from chicorycart.links.datagrams import MessageLink
+from chicorycart.links.peers import PeerLinks
 from chicorycart.membership.heartbeats import OwnHeartbeat
 from chicorycart.membership.incarnation import Incarnation
 from chicorycart.membership.instances import Balancers
 from chicorycart.membership.mates import MateTable
 from chicorycart.membership.monitor import MateMonitor
 from chicorycart.membership.monitor import Refuter
+from chicorycart.membership.paths import MatePaths
 from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.reports import Reporter
 from chicorycart.placement.load import LoadSource
@@ -35,8 +36,8 @@
         Lists the targets of the service.
     load : LoadSource
         Knows the load of the own target.
-    link : MessageLink
-        Carries the messages.
+    link : PeerLinks
+        Carries the messages, from other ports if need be.
     incarnation : Incarnation
         Of the own process.
     detector : PauseDetector
@@ -60,7 +61,7 @@
         clock: Clock,
         store: ConfigurationStore,
         load: LoadSource,
-        link: MessageLink,
+        link: PeerLinks,
         incarnation: Incarnation,
         detector: PauseDetector,
         random: Random,
@@ -72,16 +73,24 @@
         self.balancers = Balancers(settings.daemon.domain)
         self.detector = detector
         reporter = Reporter(clock, self.mates, own, self.balancers, link)
+        paths = MatePaths(clock, link)
         self.monitor = MateMonitor(
-            settings.service, store, self.mates, own, reporter, link, random
+            settings.service,
+            store,
+            self.mates,
+            own,
+            reporter,
+            paths,
+            link,
+            random,
         )
         link.register(MessageKind.HEARTBEAT, self.monitor)
-        link.register(MessageKind.SUSPICION, Refuter(own))
+        link.register(MessageKind.SUSPICION, Refuter(own, paths))
 
     def use_load(self, load: LoadSource) -> None:
         """Tell the mates the load that another source knows."""
         self.monitor.own.load = load
 
-    def start(self) -> Task[None]:
+    def start(self) -> list[Task[None]]:
         """Begin to exchange heartbeats."""
-        return create_task(self.monitor.run(self.detector))
+        return [create_task(self.monitor.run(self.detector))]
--- a/chicorycart/balancer/daemon.py
+++ b/chicorycart/balancer/daemon.py
@@ -8,6 +8,7 @@
 
 from prometheus_client import CollectorRegistry
 
+from chicorycart.address import Address
 from chicorycart.address import unpack_address
 from chicorycart.balancer.forwarding import ChainCache
 from chicorycart.balancer.forwarding import Forwarder
@@ -23,6 +24,7 @@
 from chicorycart.defaults import READER_CALLS_BURST
 from chicorycart.defaults import READER_CALLS_PER_SECOND
 from chicorycart.links.datagrams import DatagramLink
+from chicorycart.links.peers import PeerLinks
 from chicorycart.links.sockets import DatagramSocket
 from chicorycart.membership.follow import InstanceFollower
 from chicorycart.membership.incarnation import Incarnation
@@ -32,6 +34,8 @@
 from chicorycart.operation.endpoints import serve_endpoints
 from chicorycart.settings.model import BalancerSettings
 
+ANY_PORT = 0
+
 
 class Balancer:
     """A balancer and its parts.
@@ -52,7 +56,10 @@
         self.store.subscribe(self.sources)
         self.data_socket = DatagramSocket(daemon.data)
         self.fabric_socket = DatagramSocket(settings.fabric)
-        self.link = DatagramLink(self.data_socket, self.sources, self.registry)
+        self.link = PeerLinks(
+            DatagramLink(self.data_socket, self.sources, self.registry),
+            lambda: DatagramSocket(Address(daemon.data.host, ANY_PORT)),
+        )
         self.membership = BalancerMembership(
             daemon,
             clock,
@@ -113,15 +120,16 @@
         server = serve_endpoints(daemon.control, self.registry, self)
         tasks = [
             create_task(self.instances.run()),
-            self.membership.start(),
+            *self.membership.start(),
             create_task(self.reader.watch_forever()),
         ]
-        self.data_socket.start(self.link)
+        self.data_socket.start(self.link.main)
         self.fabric_socket.start(self.forwarder)
         await stop.wait()
         self.stopping = True
         for task in tasks:
             task.cancel()
         self.fabric_socket.close()
+        self.link.close()
         self.data_socket.close()
         server.stop()
--- a/chicorycart/balancer/membership.py
+++ b/chicorycart/balancer/membership.py
@@ -13,7 +13,7 @@
 from chicorycart.defaults import GOSSIP_BURST_BYTES
 from chicorycart.defaults import GOSSIP_BYTES_PER_SECOND
 from chicorycart.links.datagrams import MessageKind
-from chicorycart.links.datagrams import MessageLink
+from chicorycart.links.peers import PeerLinks
 from chicorycart.membership.evidence import Evidence
 from chicorycart.membership.gossip import Gossip
 from chicorycart.membership.heartbeats import NoLoad
@@ -21,6 +21,7 @@
 from chicorycart.membership.incarnation import Incarnation
 from chicorycart.membership.instances import Balancers
 from chicorycart.membership.messages import NO_SERVICE
+from chicorycart.membership.paths import PathProber
 from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.peers import FlatPeers
 from chicorycart.membership.suspicions import SuspicionBook
@@ -38,8 +39,8 @@
         Measures leases.
     store : ConfigurationStore
         Tells the configuration version in force.
-    link : MessageLink
-        Carries the messages.
+    link : PeerLinks
+        Carries the messages, from other ports if need be.
     incarnation : Incarnation
         Of the own process.
     detector : PauseDetector
@@ -57,14 +58,21 @@
         To be told of each instance list.
     """
 
-    __slots__ = ("suspicions", "balancers", "detector", "random", "gossip")
+    __slots__ = (
+        "suspicions",
+        "balancers",
+        "detector",
+        "random",
+        "gossip",
+        "prober",
+    )
 
     def __init__(
         self,
         daemon: DaemonSettings,
         clock: Clock,
         store: ConfigurationStore,
-        link: MessageLink,
+        link: PeerLinks,
         incarnation: Incarnation,
         detector: PauseDetector,
         random: Random,
@@ -89,9 +97,14 @@
             bucket,
             registry,
         )
+        self.prober = PathProber(self.suspicions, own, link, link)
+        evidence.subscribe(self.prober)
         link.register(MessageKind.HEARTBEAT, evidence)
         link.register(MessageKind.SUSPICION, self.gossip)
 
-    def start(self) -> Task[None]:
-        """Begin to gossip."""
-        return create_task(self.gossip.run(self.detector, self.random))
+    def start(self) -> list[Task[None]]:
+        """Begin to gossip and to check the paths to the agents."""
+        return [
+            create_task(self.gossip.run(self.detector, self.random)),
+            create_task(self.prober.run(self.detector)),
+        ]
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -281,3 +281,24 @@
 
 STOP_IDLE_SECONDS = 3.0
 """Quiet time after which a stopping gateway closes idle connections."""
+
+MAX_MOVED_PEERS = 64
+"""Peers to which a process sends from another port than the published."""
+
+PATH_MOVE_SECONDS = 6.0
+"""Time between two moves of the path to a silent peer."""
+
+PATH_MOVE_MAX_SECONDS = 60.0
+"""Longest time between two moves of the path to a silent peer."""
+
+PATH_PROBES_PER_SECOND = 4.0
+"""Agents whose path a balancer checks each second."""
+
+PATH_PROBE_TRIES = 3
+"""Probes without an answer after which a path counts as silent."""
+
+KEEPALIVE_SECONDS = 2.0
+"""Time between two heartbeats on a connection."""
+
+KEEPALIVE_TIMEOUT_SECONDS = 7.0
+"""Silence after which a connection is closed."""
--- a/chicorycart/links/errors.py
+++ b/chicorycart/links/errors.py
@@ -5,3 +5,7 @@
 
 class LinkError(ChicorycartError):
     """A socket that cannot be opened or used."""
+
+
+class SilentLinkError(LinkError):
+    """A connection whose peer was silent for too long."""
--- a/chicorycart/membership/evidence.py
+++ b/chicorycart/membership/evidence.py
@@ -1,5 +1,7 @@
 """Decides when reports against an agent are enough to suspect it."""
 
+from typing import Protocol
+
 from logbook import Logger
 
 from chicorycart.address import Address
@@ -23,6 +25,13 @@
 LOGGER = Logger("membership")
 
 
+class AnswerSubscriber(Protocol):
+    """Something that is told which agents are heard."""
+
+    def note_answer(self, agent: int) -> None:
+        """Take note that an agent (packed address) was heard."""
+
+
 class Case:
     """The reports against one agent.
 
@@ -63,7 +72,7 @@
         Sends the probes.
     """
 
-    __slots__ = ("clock", "book", "own", "sender", "cases")
+    __slots__ = ("clock", "book", "own", "sender", "cases", "subscribers")
 
     def __init__(
         self,
@@ -77,6 +86,11 @@
         self.own = own
         self.sender = sender
         self.cases: dict[int, Case] = {}
+        self.subscribers: list[AnswerSubscriber] = []
+
+    def subscribe(self, subscriber: AnswerSubscriber) -> None:
+        """Tell the subscriber of each agent that is heard."""
+        self.subscribers.append(subscriber)
 
     def take_report(self, reporter: int, record: SuspicionRecord) -> None:
         """Take what an agent says of one of its mates."""
@@ -115,6 +129,8 @@
             self.sender.send(
                 MessageKind.HEARTBEAT, self.own.encode_next(), source
             )
+        for subscriber in self.subscribers:
+            subscriber.note_answer(heartbeat.sender)
         self.cases.pop(heartbeat.sender, None)
         kept = self.book.records.get(heartbeat.sender)
         if kept is None or not kept.is_suspected:
--- a/chicorycart/membership/monitor.py
+++ b/chicorycart/membership/monitor.py
@@ -17,6 +17,7 @@
 from chicorycart.membership.messages import decode_heartbeat
 from chicorycart.membership.messages import decode_suspicions
 from chicorycart.membership.messages import NO_SERVICE
+from chicorycart.membership.paths import MatePaths
 from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.reports import Reporter
 
@@ -38,6 +39,8 @@
         Makes the heartbeats.
     reporter : Reporter
         Reports the mates that lapse.
+    paths : MatePaths
+        Moves the paths to silent mates.
     sender : Sender
         Sends to other processes.
     random : Random
@@ -50,6 +53,7 @@
         "table",
         "own",
         "reporter",
+        "paths",
         "sender",
         "random",
     )
@@ -61,6 +65,7 @@
         table: MateTable,
         own: OwnHeartbeat,
         reporter: Reporter,
+        paths: MatePaths,
         sender: Sender,
         random: Random,
     ):
@@ -69,6 +74,8 @@
         self.table = table
         self.own = own
         self.reporter = reporter
+        self.paths = paths
+        table.subscribe(paths)
         self.sender = sender
         self.random = random
 
@@ -86,6 +93,7 @@
         expected = self.list_expected()
         self.table.expect(expected)
         self.table.check(expected)
+        self.paths.move_due()
         body = self.own.encode_next()
         for agent in self.table.mates:
             self.sender.send(
@@ -131,12 +139,15 @@
     ----------
     own : OwnHeartbeat
         Carries the incarnation, which rises above the suspected one.
+    paths : MatePaths
+        Moves the path to a mate that does not hear this agent.
     """
 
-    __slots__ = ("own",)
+    __slots__ = ("own", "paths")
 
-    def __init__(self, own: OwnHeartbeat):
+    def __init__(self, own: OwnHeartbeat, paths: MatePaths):
         self.own = own
+        self.paths = paths
 
     def receive(self, body: bytes, source: Address) -> None:
         """Take suspicions, of which only those of the own process matter.
@@ -146,9 +157,12 @@
         MembershipMessageError
             If the message cannot be read or is not credible.
         """
-        for record in decode_suspicions(body, source).records:
+        message = decode_suspicions(body, source)
+        for record in message.records:
             if record.suspect != self.own.sender or not record.is_suspected:
                 continue
+            if message.is_report:
+                self.paths.note_accusation(message.sender)
             if self.own.incarnation.refute(record.incarnation):
                 LOGGER.warning(
                     "event=refuted by={} incarnation={:x}",
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -16,6 +16,8 @@
 from chicorycart.configuration.model import Target
 from chicorycart.configuration.model import TargetState
 from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.links.datagrams import DatagramLink
+from chicorycart.links.peers import PeerLinks
 from chicorycart.membership.incarnation import Incarnation
 from chicorycart.membership.instances import Instance
 from chicorycart.membership.instances import InstanceRole
@@ -25,8 +27,9 @@
 from chicorycart.settings.model import AgentSettings
 from chicorycart.settings.model import DaemonSettings
 from chicorycart.settings.model import LogSettings
-from tests.standins.datagrams import MemoryLink
+from tests.standins.datagrams import AnySource
 from tests.standins.datagrams import MemoryNetwork
+from tests.standins.datagrams import MemorySocket
 
 DOMAINS = "abc"
 DATA_PORT = 7001
@@ -45,12 +48,13 @@
 
 
 class Node:
-    """One process: its link and its membership."""
+    """One process: its socket, its links and its membership."""
 
-    def __init__(self, link, membership):
+    def __init__(self, socket, link, membership):
+        self.socket = socket
         self.link = link
         self.membership = membership
-        self.task = membership.start()
+        self.tasks = membership.start()
 
 
 class Fleet:
@@ -100,11 +104,17 @@
         daemon = DaemonSettings(
             name, "riga", instance.domain, address, address, [], LogSettings()
         )
-        link = MemoryLink(self.network, address)
+        socket = MemorySocket(self.network, address)
+        registry = CollectorRegistry()
+        link = PeerLinks(
+            DatagramLink(socket, AnySource(), registry),
+            lambda: self.network.open_new(address.host),
+        )
+        socket.start(link.main)
         store = ConfigurationStore(self.clock)
         store.put_in_force(self.configure(1, self.targets.values()))
         incarnation = Incarnation(started_seconds or self.starts)
-        detector = PauseDetector(self.clock, link.sleep)
+        detector = PauseDetector(self.clock, socket.sleep)
         common = (link, incarnation, detector, self.random)
         if agent:
             settings = AgentSettings(
@@ -115,10 +125,10 @@
             )
         else:
             membership = BalancerMembership(
-                daemon, self.clock, store, *common, CollectorRegistry()
+                daemon, self.clock, store, *common, registry
             )
         membership.balancers.change_instances(list(self.balancers.values()))
-        self.nodes[name] = Node(link, membership)
+        self.nodes[name] = Node(socket, link, membership)
 
     def configure(self, version, targets):
         """Return a configuration with the one service."""
@@ -129,8 +139,10 @@
     def kill(self, name):
         """End a process without warning."""
         node = self.nodes.pop(name)
-        node.task.cancel()
-        self.network.links.pop(node.link.address)
+        for task in node.tasks:
+            task.cancel()
+        node.link.close()
+        node.socket.close()
 
     def mates_of(self, name):
         """Return what an agent knows of its mates."""
--- a/tests/membership/suspicion_steps.py
+++ b/tests/membership/suspicion_steps.py
@@ -130,13 +130,13 @@
 
 
 def pause(context, name, seconds, is_deaf):
-    link = context.fleet.nodes[name].link
-    link.pause()
-    call(context, wake_later, link, seconds, is_deaf)
+    socket = context.fleet.nodes[name].socket
+    socket.pause()
+    call(context, wake_later, socket, seconds, is_deaf)
 
 
-def wake_later(link, seconds, is_deaf):
-    get_running_loop().call_later(seconds, link.wake, is_deaf)
+def wake_later(socket, seconds, is_deaf):
+    get_running_loop().call_later(seconds, socket.wake, is_deaf)
 
 
 @when("all datagrams are recorded")
@@ -158,22 +158,22 @@
     network.journal = [
         datagram
         for datagram in network.journal
-        if balancers.issuperset(datagram[2:])
+        if balancers.issuperset(datagram[1:])
     ]
     replay(context)
 
 
 @when('agent "{name}" is cut off from all others')
 def cut_off(context, name):
-    context.fleet.network.sides[context.fleet.targets[name].agent] = 1
+    context.fleet.network.sides[context.fleet.targets[name].agent.host] = 1
 
 
 @when('agent "{name}" is cut off from the other agents only')
 def cut_from_agents(context, name):
-    own = context.fleet.targets[name].agent
+    own = context.fleet.targets[name].agent.host
     for target in context.fleet.targets.values():
-        pairs = {(own, target.agent), (target.agent, own)}
-        context.fleet.network.severed |= pairs
+        pairs = {(own, target.agent.host), (target.agent.host, own)}
+        context.fleet.network.cut_hosts |= pairs
 
 
 @when('failure domain "{domain}" is cut off from the others')
@@ -186,7 +186,7 @@
         name for name, b in fleet.balancers.items() if b.domain == domain
     }
     for name in context.beyond | context.inside:
-        fleet.network.sides[fleet.nodes[name].link.address] = 1
+        fleet.network.sides[fleet.nodes[name].socket.address.host] = 1
 
 
 @when("the network heals")
@@ -227,7 +227,9 @@
 
 @then("each of them is refused and changes nothing")
 def check_lies(context):
-    assert context.fleet.nodes["t-2"].link.refused == len(context.lies)
+    dropped = context.fleet.nodes["t-2"].link.main.dropped
+    refused = dropped.labels("malformed")._value.get()
+    assert refused == len(context.lies), refused
     assert context.fleet.mate("t-2", "t-1").incarnation < 1 << 60
     assert context.fleet.mate("t-2", "t-3").incarnation < 1 << 60
 
@@ -294,9 +296,9 @@
 
 @then('"{name}" reported nothing')
 def check_no_report(context, name):
-    link = context.fleet.nodes[name].link
-    assert link.kinds[MessageKind.HEARTBEAT] > 0
-    assert link.kinds[MessageKind.SUSPICION] == 0
+    socket = context.fleet.nodes[name].socket
+    assert socket.kinds[MessageKind.HEARTBEAT] > 0
+    assert socket.kinds[MessageKind.SUSPICION] == 0
 
 
 @then('its mates saw "{name}" restart once')
--- a/tests/standins/datagrams.py
+++ b/tests/standins/datagrams.py
@@ -4,24 +4,26 @@
 from asyncio import get_running_loop
 from asyncio import sleep
 from collections import Counter
+from itertools import count
 from random import Random
 
 from chicorycart.address import Address
 from chicorycart.defaults import DATAGRAM_HEADER_BYTES
-from chicorycart.errors import ChicorycartError
 
-KIND_BYTES = 1
+FIRST_NEW_PORT = 40_000
 
 
 class MemoryNetwork:
-    """Carries datagrams between links on the loop's time.
+    """Carries datagrams between sockets on the loop's time.
 
     Attributes
     ----------
-    links : dict of Address to MemoryLink
-        Links that are up.
-    sides : dict of Address to int
-        Sides of a partition; datagrams between two sides are lost.
+    sockets : dict of Address to MemorySocket
+        Open sockets.
+    sides : dict of str to int
+        Sides of a partition by host; datagrams between two sides are lost.
+    cut_hosts : set of tuple of str
+        Pairs of hosts; datagrams from the first to the second are lost.
     severed : set of tuple of Address
         Pairs of source and destination whose datagrams are lost.
     journal : list
@@ -34,30 +36,37 @@
 
     def __init__(self, random: Random):
         self.random = random
-        self.links: dict[Address, MemoryLink] = {}
-        self.sides: dict[Address, int] = {}
+        self.sockets: dict[Address, MemorySocket] = {}
+        self.sides: dict[str, int] = {}
+        self.cut_hosts: set[tuple[str, str]] = set()
         self.severed: set[tuple[Address, Address]] = set()
+        self.ports = count(FIRST_NEW_PORT)
         self.is_recorded = False
         self.journal = []
         self.copies = 1
         self.delay_seconds = 0.001
         self.jitter_seconds = 0.0
 
-    def carry(self, kind, body, source, destination):
+    def open_new(self, host):
+        """Return a socket on a new port of a host."""
+        return MemorySocket(self, Address(host, next(self.ports)))
+
+    def carry(self, data, source, destination):
         """Deliver a datagram unless it is lost."""
         if self.is_recorded:
-            self.journal.append((kind, body, source, destination))
+            self.journal.append((data, source, destination))
         if (source, destination) in self.severed:
             return
-        if self.sides.get(source, 0) != self.sides.get(destination, 0):
+        if (source.host, destination.host) in self.cut_hosts:
+            return
+        if self.sides.get(source.host) != self.sides.get(destination.host):
             return
         for _ in range(self.copies):
             late = self.random.random() * self.jitter_seconds
             get_running_loop().call_later(
                 self.delay_seconds + late,
                 self.deliver,
-                kind,
-                body,
+                data,
                 source,
                 destination,
             )
@@ -67,56 +76,55 @@
         for datagram in self.journal:
             self.deliver(*datagram)
 
-    def deliver(self, kind, body, source, destination):
-        """Hand a datagram to its link, if that is still there."""
-        if destination in self.links:
-            self.links[destination].take(kind, body, source)
+    def deliver(self, data, source, destination):
+        """Hand a datagram to its socket, if that is still open."""
+        if destination in self.sockets:
+            self.sockets[destination].take(data, source)
 
 
-class MemoryLink:
-    """A link whose process can be paused: it then neither reads nor wakes.
+class MemorySocket:
+    """A socket whose process can be paused: it then neither reads nor wakes.
 
     Attributes
     ----------
     sent_bytes : int
         Bytes sent, headers included.
-    refused : int
-        Messages that the receiver refused.
     kinds : Counter
-        Messages sent, by kind.
+        Datagrams sent, by their first byte.
     """
 
     def __init__(self, network: MemoryNetwork, address: Address):
         self.network = network
         self.address = address
-        self.receivers = {}
+        self.taker = None
         self.sent_bytes = 0
-        self.refused = 0
         self.kinds = Counter()
         self.waiting = []
         self.running = Event()
         self.running.set()
-        network.links[address] = self
-
-    def register(self, kind, receiver):
-        """Hand the messages of one kind to the receiver."""
-        self.receivers[kind] = receiver
-
-    def send(self, kind, body, destination):
-        """Send one message."""
-        self.kinds[kind] += 1
-        self.sent_bytes += DATAGRAM_HEADER_BYTES + KIND_BYTES + len(body)
-        self.network.carry(kind, body, self.address, destination)
-
-    def take(self, kind, body, source):
-        """Take one message, after the pause if there is one."""
-        if not self.running.is_set():
-            self.waiting.append((kind, body, source))
-            return
-        try:
-            self.receivers[kind].receive(body, source)
-        except ChicorycartError:
-            self.refused += 1
+
+    def start(self, taker):
+        """Hand every datagram to the taker."""
+        self.taker = taker
+        self.network.sockets[self.address] = self
+
+    def close(self):
+        """Stop taking datagrams."""
+        del self.network.sockets[self.address]
+
+    def send(self, data, destination):
+        """Send one datagram."""
+        self.kinds[data[0]] += 1
+        self.sent_bytes += DATAGRAM_HEADER_BYTES + len(data)
+        self.network.carry(data, self.address, destination)
+        return True
+
+    def take(self, data, source):
+        """Take one datagram, after the pause if there is one."""
+        if self.running.is_set():
+            self.taker.take(data, source)
+        else:
+            self.waiting.append((data, source))
 
     async def sleep(self, seconds):
         """Wait, and longer if the process is paused."""
@@ -134,5 +142,13 @@
         """
         self.running.set()
         waiting, self.waiting = self.waiting, []
-        for message in [] if is_deaf else waiting:
-            self.take(*message)
+        for datagram in [] if is_deaf else waiting:
+            self.take(*datagram)
+
+
+class AnySource:
+    """Lets every datagram in."""
+
+    def is_known(self, host):
+        """Return True."""
+        return True
