--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -4,32 +4,32 @@
 from asyncio import Event
 from random import Random
 from time import time
+from time import time_ns
 from typing import Any
 
 from prometheus_client import CollectorRegistry
 
 from chicorycart.address import Address
+from chicorycart.address import pack_address
 from chicorycart.agent.acceptance import TargetAcceptance
-from chicorycart.agent.delivery import Delivery
 from chicorycart.agent.host import DecapsulatingHost
+from chicorycart.agent.kernel import KernelConnections
 from chicorycart.agent.load import FlowLoad
 from chicorycart.agent.membership import AgentMembership
+from chicorycart.agent.ownership import FlowOwnership
 from chicorycart.agent.pages import list_pages
 from chicorycart.clock import LoopClock
 from chicorycart.configuration.backoff import Backoff
 from chicorycart.configuration.follow import PlatformReader
 from chicorycart.configuration.metrics import ConfigurationMetrics
-from chicorycart.configuration.model import hash_name
 from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.platform import PlatformClient
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.configuration.values import HttpValues
 from chicorycart.defaults import READER_CALLS_BURST
 from chicorycart.defaults import READER_CALLS_PER_SECOND
-from chicorycart.flows.openings import OpeningMemory
-from chicorycart.flows.table import FlowTable
+from chicorycart.flows.mates import ServiceMates
 from chicorycart.links.datagrams import DatagramLink
-from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.peers import PeerLinks
 from chicorycart.links.sockets import DatagramSocket
 from chicorycart.membership.follow import InstanceFollower
@@ -67,30 +67,43 @@
             DatagramLink(self.data_socket, self.sources, self.registry),
             lambda: DatagramSocket(Address(daemon.data.host, ANY_PORT)),
         )
-        self.table = FlowTable(clock)
-        self.delivery = Delivery(
-            hash_name(settings.service),
-            DecapsulatingHost(self.data_socket, settings.decapsulation),
-            self.table,
-            OpeningMemory(clock),
-            TargetAcceptance(self.store, settings.service, settings.target),
-            self.link,
-            DecisionLog(daemon.log.decision_sample),
-            self.registry,
-        )
-        self.link.register(MessageKind.FORWARD, self.delivery)
         self.membership = AgentMembership(
             settings,
             clock,
             self.store,
-            FlowLoad(
-                self.table, self.store, settings.service, settings.target
-            ),
             self.link,
             Incarnation(time()),
             PauseDetector(clock),
             Random(),
         )
+        self.ownership = FlowOwnership(
+            ServiceMates(
+                self.store,
+                settings.service,
+                pack_address(daemon.data),
+                clock,
+                self.membership.mates,
+            ),
+            DecapsulatingHost(self.data_socket, settings.decapsulation),
+            KernelConnections(),
+            TargetAcceptance(self.store, settings.service, settings.target),
+            self.link,
+            time_ns(),
+            clock,
+            Random(),
+            DecisionLog(daemon.log.decision_sample),
+            self.registry,
+        )
+        for kind, receiver in self.ownership.list_receivers().items():
+            self.link.register(kind, receiver)
+        self.membership.use_load(
+            FlowLoad(
+                self.ownership.table,
+                self.store,
+                settings.service,
+                settings.target,
+            )
+        )
         self.platform = PlatformClient(
             HttpValues(daemon.platform),
             TokenBucket(clock, READER_CALLS_PER_SECOND, READER_CALLS_BURST),
@@ -128,7 +141,8 @@
 
     def describe_status(self) -> dict[str, Any]:
         """Return name, role, version in force and owned flows."""
-        self.table.expire()
+        table = self.ownership.table
+        flows = table.count_open()
         return {
             "name": self.settings.daemon.name,
             "role": "agent",
@@ -136,17 +150,21 @@
             "target": self.settings.target,
             "ready": self.is_ready(),
             "version": self.store.current.version,
-            "flows": len(self.table),
             "mates": {
                 str(mate): mate.state
                 for mate in self.membership.mates.mates.values()
             },
+            "flows": flows,
+            "closing": len(table) - flows,
+            "requests": self.requests.gateway.in_progress
+            if self.requests is not None
+            else 0,
         }
 
     async def run(self, stop: Event) -> None:
         """Serve until the event is set."""
         daemon = self.settings.daemon
-        pages = list_pages(self.settings.target, self.table)
+        pages = list_pages(self.settings.target, self.ownership.table)
         servers = [serve_endpoints(daemon.control, self.registry, self, pages)]
         if self.requests is not None:
             self.requests.listen(self.settings.gateway)
@@ -154,6 +172,7 @@
             create_task(self.instances.run()),
             *self.membership.start(),
             create_task(self.reader.watch_forever()),
+            create_task(self.ownership.run()),
         ]
         self.data_socket.start(self.link.main)
         await stop.wait()
--- a/chicorycart/agent/membership.py
+++ b/chicorycart/agent/membership.py
@@ -10,6 +10,7 @@
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.peers import PeerLinks
+from chicorycart.membership.heartbeats import NoLoad
 from chicorycart.membership.heartbeats import OwnHeartbeat
 from chicorycart.membership.incarnation import Incarnation
 from chicorycart.membership.instances import Balancers
@@ -34,8 +35,6 @@
         Measures leases.
     store : ConfigurationStore
         Lists the targets of the service.
-    load : LoadSource
-        Knows the load of the own target.
     link : PeerLinks
         Carries the messages, from other ports if need be.
     incarnation : Incarnation
@@ -60,7 +59,6 @@
         settings: AgentSettings,
         clock: Clock,
         store: ConfigurationStore,
-        load: LoadSource,
         link: PeerLinks,
         incarnation: Incarnation,
         detector: PauseDetector,
@@ -68,7 +66,7 @@
     ):
         agent = pack_address(settings.daemon.data)
         service = hash_name(settings.service)
-        own = OwnHeartbeat(agent, service, incarnation, store, load)
+        own = OwnHeartbeat(agent, service, incarnation, store, NoLoad())
         self.mates = MateTable(clock, agent, service)
         self.balancers = Balancers(settings.daemon.domain)
         self.detector = detector
@@ -88,7 +86,7 @@
         link.register(MessageKind.SUSPICION, Refuter(own, paths))
 
     def use_load(self, load: LoadSource) -> None:
-        """Tell the mates the load that another source knows."""
+        """Tell the mates from now on the load that a source knows."""
         self.monitor.own.load = load
 
     def start(self) -> list[Task[None]]:
--- a/chicorycart/commands/preview.py
+++ b/chicorycart/commands/preview.py
@@ -1,5 +1,6 @@
 """Works out what a patch of the configuration would move."""
 
+from json import dumps
 from typing import Any
 
 from chicorycart.commands.errors import BadInputError
@@ -85,7 +86,7 @@
     if value is None:
         return None
     try:
-        return parse_service(name, value)
+        return parse_service(name, dumps(value).encode())
     except InvalidConfigurationError as error:
         raise BadInputError(str(error)) from error
 
--- a/chicorycart/links/datagrams.py
+++ b/chicorycart/links/datagrams.py
@@ -17,6 +17,9 @@
     FORWARD = 1
     HEARTBEAT = 2
     SUSPICION = 3
+    OWNER_RECORD = 4
+    OWNER_QUERY = 5
+    OWNER_ANSWER = 10
 
 
 class Receiver(Protocol):
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -120,9 +120,8 @@
             settings = AgentSettings(
                 daemon, SERVICE, name, address, address, None
             )
-            membership = AgentMembership(
-                settings, self.clock, store, FixedLoad(7), *common
-            )
+            membership = AgentMembership(settings, self.clock, store, *common)
+            membership.use_load(FixedLoad(7))
         else:
             membership = BalancerMembership(
                 daemon, self.clock, store, *common, registry
