--- a/chicorycart/balancer/membership.py
+++ b/chicorycart/balancer/membership.py
@@ -12,6 +12,8 @@
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.defaults import GOSSIP_BURST_BYTES
 from chicorycart.defaults import GOSSIP_BYTES_PER_SECOND
+from chicorycart.defaults import PROBE_BURST_BYTES
+from chicorycart.defaults import PROBE_BYTES_PER_SECOND
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.peers import PeerLinks
 from chicorycart.membership.evidence import Evidence
@@ -84,7 +86,8 @@
         self.balancers = Balancers(daemon.domain)
         self.detector = detector
         self.random = random
-        evidence = Evidence(clock, self.suspicions, own, link)
+        probes = TokenBucket(clock, PROBE_BYTES_PER_SECOND, PROBE_BURST_BYTES)
+        evidence = Evidence(clock, self.suspicions, own, link, probes)
         bucket = TokenBucket(
             clock, GOSSIP_BYTES_PER_SECOND, GOSSIP_BURST_BYTES
         )
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -105,10 +105,10 @@
 PAUSE_SECONDS = 1.5
 """Delay of a timer that counts as a pause of the process."""
 
-SUSPICION_LEASE_SECONDS = 30.0
+SUSPICION_LEASE_SECONDS = 60.0
 """Time after which a suspicion lapses unless it is renewed."""
 
-SUSPICION_RENEWAL_SECONDS = 10.0
+SUSPICION_RENEWAL_SECONDS = 20.0
 """Age at which a suspicion that is still reported is renewed."""
 
 MAX_SUSPICIONS = 32_768
@@ -132,19 +132,25 @@
 PROBE_SECONDS = 1.0
 """Silence after a probe that counts as evidence against the suspect."""
 
+PROBE_BYTES_PER_SECOND = 500
+"""Bytes of probes of reported agents that a balancer may send."""
+
+PROBE_BURST_BYTES = 500
+"""Bytes of probes that a balancer may send at once."""
+
 GOSSIP_SECONDS = 0.5
 """Time between two rounds of gossip."""
 
 GOSSIP_PEERS = 2
 """Balancers that one round of gossip goes to."""
 
-GOSSIP_SENDS = 8
+GOSSIP_SENDS = 10
 """Times that a balancer passes on one record."""
 
 GOSSIP_BYTES_PER_SECOND = 1_000
 """Bytes of gossip that a balancer may send, headers included."""
 
-GOSSIP_BURST_BYTES = 2_000
+GOSSIP_BURST_BYTES = 1_000
 """Bytes of gossip that a balancer may send at once."""
 
 GOSSIP_RECORDS = 24
@@ -367,7 +373,7 @@
 PATH_MOVE_MAX_SECONDS = 60.0
 """Longest time between two moves of the path to a silent peer."""
 
-PATH_PROBES_PER_SECOND = 4.0
+PATH_PROBES_PER_SECOND = 2.0
 """Agents whose path a balancer checks each second."""
 
 PATH_PROBE_TRIES = 3
--- a/chicorycart/links/datagrams.py
+++ b/chicorycart/links/datagrams.py
@@ -7,9 +7,12 @@
 from prometheus_client import Counter
 
 from chicorycart.address import Address
+from chicorycart.defaults import DATAGRAM_HEADER_BYTES
 from chicorycart.errors import ChicorycartError
 from chicorycart.links.sockets import DatagramSocket
 
+KIND_BYTES = 1
+
 
 class MessageKind(IntEnum):
     """The first byte of every datagram between processes."""
@@ -45,11 +48,9 @@
         """Send one message; it may be lost without notice."""
 
 
-class MessageLink(Sender, Protocol):
-    """A sender that also hands on what other processes send."""
-
-    def register(self, kind: MessageKind, receiver: Receiver) -> None:
-        """Hand the messages of one kind to the receiver."""
+def measure_datagram(body: bytes) -> int:
+    """Return the bytes that a message takes on the wire, headers included."""
+    return DATAGRAM_HEADER_BYTES + KIND_BYTES + len(body)
 
 
 class DatagramLink:
--- a/chicorycart/membership/evidence.py
+++ b/chicorycart/membership/evidence.py
@@ -7,12 +7,14 @@
 from chicorycart.address import Address
 from chicorycart.address import unpack_address
 from chicorycart.clock import Clock
+from chicorycart.configuration.pace import TokenBucket
 from chicorycart.defaults import GOSSIP_SECONDS
 from chicorycart.defaults import MAX_SUSPICIONS
 from chicorycart.defaults import PROBE_SECONDS
 from chicorycart.defaults import REPORT_LEASE_SECONDS
 from chicorycart.defaults import REPORTERS_NEEDED
 from chicorycart.defaults import SUSPICION_LEASE_SECONDS
+from chicorycart.links.datagrams import measure_datagram
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Sender
 from chicorycart.membership.heartbeats import OwnHeartbeat
@@ -41,16 +43,24 @@
         The newest incarnation that was reported.
     reporters : dict of int to float
         When each report lapses, by the packed address of the reporter.
-    probed_at : float
+    first_probe_at : float or None
         Time of the first probe that the agent has not answered.
+    last_probe_at : float
+        Time of the latest probe.
     """
 
-    __slots__ = ("incarnation", "reporters", "probed_at")
+    __slots__ = (
+        "incarnation",
+        "reporters",
+        "first_probe_at",
+        "last_probe_at",
+    )
 
-    def __init__(self, incarnation: int, probed_at: float):
+    def __init__(self, incarnation: int):
         self.incarnation = incarnation
         self.reporters: dict[int, float] = {}
-        self.probed_at = probed_at
+        self.first_probe_at: float | None = None
+        self.last_probe_at = float("-inf")
 
 
 class Evidence:
@@ -70,9 +80,19 @@
         Makes the probes.
     sender : Sender
         Sends the probes.
+    bucket : TokenBucket
+        Bounds the bytes of probes a second.
     """
 
-    __slots__ = ("clock", "book", "own", "sender", "cases", "subscribers")
+    __slots__ = (
+        "clock",
+        "book",
+        "own",
+        "sender",
+        "bucket",
+        "cases",
+        "subscribers",
+    )
 
     def __init__(
         self,
@@ -80,11 +100,13 @@
         book: SuspicionBook,
         own: OwnHeartbeat,
         sender: Sender,
+        bucket: TokenBucket,
     ):
         self.clock = clock
         self.book = book
         self.own = own
         self.sender = sender
+        self.bucket = bucket
         self.cases: dict[int, Case] = {}
         self.subscribers: list[AnswerSubscriber] = []
 
@@ -103,17 +125,23 @@
         now = self.clock.now()
         case = self.cases.get(record.suspect)
         if case is None or case.incarnation < record.incarnation:
-            case = Case(record.incarnation, now)
+            case = Case(record.incarnation)
             self.cases[record.suspect] = case
         elif case.incarnation > record.incarnation:
             return
         lease = min(record.remaining, REPORT_LEASE_SECONDS)
         case.reporters[reporter] = now + lease
-        self.probe(record.suspect)
+        if now - case.last_probe_at >= PROBE_SECONDS:
+            self.probe(record.suspect, case)
 
-    def probe(self, agent: int) -> None:
-        """Ask an agent for a heartbeat."""
+    def probe(self, agent: int, case: Case) -> None:
+        """Ask an agent for a heartbeat, if the budget allows."""
         body = self.own.encode_next(wants_answer=True)
+        if not self.bucket.try_take(measure_datagram(body)):
+            return
+        case.last_probe_at = self.clock.now()
+        if case.first_probe_at is None:
+            case.first_probe_at = case.last_probe_at
         self.sender.send(MessageKind.HEARTBEAT, body, unpack_address(agent))
 
     def receive(self, body: bytes, source: Address) -> None:
@@ -165,11 +193,13 @@
             elif self.is_enough(case):
                 self.book.suspect(agent, case.incarnation)
             else:
-                self.probe(agent)
+                self.probe(agent, case)
 
     def is_enough(self, case: Case) -> bool:
         """Tell whether a silent agent is to be suspected."""
-        silence = self.clock.now() - case.probed_at
+        if case.first_probe_at is None:
+            return False
+        silence = self.clock.now() - case.first_probe_at
         if len(case.reporters) >= REPORTERS_NEEDED:
             return silence >= GOSSIP_SECONDS
         return silence >= PROBE_SECONDS
--- a/chicorycart/membership/gossip.py
+++ b/chicorycart/membership/gossip.py
@@ -8,10 +8,10 @@
 
 from chicorycart.address import Address
 from chicorycart.configuration.pace import TokenBucket
-from chicorycart.defaults import DATAGRAM_HEADER_BYTES
 from chicorycart.defaults import GOSSIP_RECORDS
 from chicorycart.defaults import GOSSIP_SECONDS
 from chicorycart.defaults import HEARTBEAT_JITTER_SHARE
+from chicorycart.links.datagrams import measure_datagram
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Sender
 from chicorycart.membership.evidence import Evidence
@@ -23,13 +23,11 @@
 from chicorycart.membership.peers import PeerChoice
 from chicorycart.membership.suspicions import SuspicionBook
 
-KIND_BYTES = 1
-
 
 def measure_message(records: list[SuspicionRecord]) -> int:
     """Return the bytes that a message of these records takes on the wire."""
     body = encode_suspicions(SuspicionMessage(0, False, records))
-    return DATAGRAM_HEADER_BYTES + KIND_BYTES + len(body)
+    return measure_datagram(body)
 
 
 EMPTY_RECORD = SuspicionRecord(0, 0, 0, 0.0, False)
--- a/chicorycart/membership/suspicions.py
+++ b/chicorycart/membership/suspicions.py
@@ -105,7 +105,6 @@
             LOGGER.warning("event=suspicion_refused reason=too_many")
             return False
         if kept is not None and order_of(record) <= order_of(kept):
-            self.note_duplicate(kept, record)
             return False
         remaining = min(record.remaining, SUSPICION_LEASE_SECONDS)
         kept = KeptRecord(record, self.clock.now() + remaining)
@@ -114,13 +113,6 @@
         self.apply(kept)
         return True
 
-    def note_duplicate(
-        self, kept: KeptRecord, record: SuspicionRecord
-    ) -> None:
-        """Pass a record on less often if peers already have it."""
-        if order_of(record) == order_of(kept):
-            self.use_send(kept)
-
     def use_send(self, kept: KeptRecord) -> None:
         """Count one time that a record was passed on."""
         kept.sends_left -= 1
