Give each default one value; bound gossip and probes by their own names

Cause: two slices had named a default GOSSIP_BYTES_PER_SECOND and two PAUSE_SECONDS; after the merge the later value silently stood for both, and a whole block of the flows' defaults stood twice.

--- a/chicorycart/balancer/membership.py
+++ b/chicorycart/balancer/membership.py
@@ -10,10 +10,10 @@
 from chicorycart.clock import Clock
 from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.store import ConfigurationStore
-from chicorycart.defaults import GOSSIP_BURST_BYTES
-from chicorycart.defaults import GOSSIP_BYTES_PER_SECOND
 from chicorycart.defaults import PROBE_BURST_BYTES
 from chicorycart.defaults import PROBE_BYTES_PER_SECOND
+from chicorycart.defaults import SUSPICION_BURST_BYTES
+from chicorycart.defaults import SUSPICION_BYTES_PER_SECOND
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.peers import PeerLinks
 from chicorycart.membership.evidence import Evidence
@@ -89,7 +89,7 @@
         probes = TokenBucket(clock, PROBE_BYTES_PER_SECOND, PROBE_BURST_BYTES)
         evidence = Evidence(clock, self.suspicions, own, link, probes)
         bucket = TokenBucket(
-            clock, GOSSIP_BYTES_PER_SECOND, GOSSIP_BURST_BYTES
+            clock, SUSPICION_BYTES_PER_SECOND, SUSPICION_BURST_BYTES
         )
         self.gossip = Gossip(
             sender,
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -102,7 +102,7 @@
 DEPARTED_MATE_SECONDS = 60.0
 """Time for which a silent mate outside the configuration is kept."""
 
-PAUSE_SECONDS = 1.5
+LATE_TIMER_SECONDS = 1.5
 """Delay of a timer that counts as a pause of the process."""
 
 SUSPICION_LEASE_SECONDS = 60.0
@@ -147,10 +147,10 @@
 GOSSIP_SENDS = 10
 """Times that a balancer passes on one record."""
 
-GOSSIP_BYTES_PER_SECOND = 1_000
+SUSPICION_BYTES_PER_SECOND = 1_000
 """Bytes of gossip that a balancer may send, headers included."""
 
-GOSSIP_BURST_BYTES = 1_000
+SUSPICION_BURST_BYTES = 1_000
 """Bytes of gossip that a balancer may send at once."""
 
 GOSSIP_RECORDS = 24
@@ -384,50 +384,8 @@
 
 KEEPALIVE_TIMEOUT_SECONDS = 7.0
 """Silence after which a connection is closed."""
-MAX_SEARCH_LENGTH = 12
-"""Agents that one packet may be offered to while its owner is sought."""
-
-OWNER_LEASE_SECONDS = 90.0
-"""Time after which an owner record lapses unless it is refreshed."""
-
-OWNER_REFRESH_SECONDS = 30.0
-"""Time between two owner records of one owner."""
-
-OWNER_BYTES_PER_SECOND = 1024
-"""Rate at which one agent sends owner records."""
-
-OWNER_REPEAT_SECONDS = 1.0
-"""Time in which an owner record is sent to one agent at most once."""
-
-MAX_LEASE_SECONDS = 600.0
-"""Longest lease of an owner record that is believed."""
-
-MAX_RECORD_OWNERS = 64
-"""Owners of one service whose records an agent holds."""
-
-MAX_KNOWN_AGENTS = 256
-"""Present and past agents of its service that an agent knows."""
-
-SCAN_SLICE_FLOWS = 256
-"""Owned flows that are looked at before other work gets its turn."""
-
-SETTLING_SECONDS = 12.0
-"""Time in which versions and owner records reach every agent."""
-
 ADOPTION_SECONDS = 7_200.0
 """Time after a start in which flows that nobody owns are adopted."""
 
 ADOPTED_FLOW_SECONDS = 60.0
 """Time for which an adopted flow is owned without a second packet."""
-
-TICK_SECONDS = 0.5
-"""Time between two signs that a process was not paused."""
-
-PAUSE_SECONDS = 2.0
-"""Time without a sign after which a process was paused."""
-
-CLAIM_TIMEOUT_SECONDS = 0.1
-"""Time for which an opening packet waits for claims of other agents."""
-
-MAX_PENDING_OPENINGS = 4_096
-"""Opening packets of one agent that wait for claims."""
--- a/chicorycart/membership/pauses.py
+++ b/chicorycart/membership/pauses.py
@@ -8,7 +8,7 @@
 from logbook import Logger
 
 from chicorycart.clock import Clock
-from chicorycart.defaults import PAUSE_SECONDS
+from chicorycart.defaults import LATE_TIMER_SECONDS
 
 LOGGER = Logger("membership")
 Sleep = Callable[[float], Awaitable[None]]
@@ -44,7 +44,7 @@
         self,
         clock: Clock,
         sleep: Sleep = asyncio_sleep,
-        limit: float = PAUSE_SECONDS,
+        limit: float = LATE_TIMER_SECONDS,
     ):
         self.clock = clock
         self.wait = sleep
--- a/measure/membership.py
+++ b/measure/membership.py
@@ -21,8 +21,6 @@
 from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.defaults import EARLY_REPORTS
-from chicorycart.defaults import GOSSIP_BURST_BYTES
-from chicorycart.defaults import GOSSIP_BYTES_PER_SECOND
 from chicorycart.defaults import GOSSIP_PEERS
 from chicorycart.defaults import HEARTBEAT_SECONDS
 from chicorycart.defaults import PROBE_BURST_BYTES
@@ -30,6 +28,8 @@
 from chicorycart.defaults import REPORT_BALANCERS
 from chicorycart.defaults import REPORT_LEASE_SECONDS
 from chicorycart.defaults import REPORT_SECONDS
+from chicorycart.defaults import SUSPICION_BURST_BYTES
+from chicorycart.defaults import SUSPICION_BYTES_PER_SECOND
 from chicorycart.links.datagrams import DatagramLink
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.membership.evidence import Evidence
@@ -198,7 +198,7 @@
         )
         evidence = Evidence(self.clock, book, heartbeat, link, probes)
         bucket = TokenBucket(
-            self.clock, GOSSIP_BYTES_PER_SECOND, GOSSIP_BURST_BYTES
+            self.clock, SUSPICION_BYTES_PER_SECOND, SUSPICION_BURST_BYTES
         )
         gossip = Gossip(own, book, evidence, peers, link, bucket, registry)
         link.register(MessageKind.SUSPICION, gossip)
--- /dev/null
+++ b/tests/defaults/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the table of default values."""
--- a/tests/membership/suspicion.feature
+++ b/tests/membership/suspicion.feature
@@ -72,6 +72,18 @@
     And agent "t-1" is cut off from the other agents only
     Then no balancer suspects anybody within 12 s
 
+  Scenario: A rack that dies at once does not exceed the control budget
+    Given 40 agents of one service and 3 balancers that know each other
+    When 30 agents are killed at once
+    Then no balancer sends more than 3000 bytes in any of the next 30 s, 2000 of them gossip
+    And every balancer suspects the killed agents, and only those
+
+  Scenario: Gossip of many deaths stays within its budget and still arrives
+    Given 2 agents of one service and 9 balancers that know each other
+    When "b-1" learns of 200 dead agents at once
+    Then no balancer sends more than 3000 bytes in any of the next 40 s, 2000 of them gossip
+    And every balancer suspects 200 agents
+
   Scenario: Late copies of suspicions do not bring them back
     Given 5 agents of one service and 9 balancers that know each other
     When all datagrams are recorded
--- a/tests/membership/suspicion_steps.py
+++ b/tests/membership/suspicion_steps.py
@@ -7,6 +7,8 @@
 from behave import then
 from behave import when
 
+from chicorycart.address import Address
+from chicorycart.address import pack_address
 from chicorycart.balancer.forwarding import ChainCache
 from chicorycart.configuration.model import hash_name
 from chicorycart.configuration.store import ConfigurationStore
@@ -101,6 +103,32 @@
         kill(context, name)
 
 
+@when("{count:d} agents are killed at once")
+def kill_many(context, count):
+    context.killed = set(list(context.fleet.targets)[-count:])
+    for name in context.killed:
+        kill(context, name)
+
+
+@when('"{name}" learns of {count:d} dead agents at once')
+def learn_many(context, name, count):
+    book = context.fleet.nodes[name].membership.suspicions
+
+    def learn():
+        for number in range(count):
+            agent = Address(f"10.0.{number // 250}.{number % 250 + 1}", 7001)
+            book.suspect(pack_address(agent), 1)
+
+    call(context, learn)
+
+
+@then("every balancer suspects {count:d} agents")
+def check_count(context, count):
+    for name in context.fleet.balancers:
+        book = context.fleet.nodes[name].membership.suspicions
+        assert len(book.suspected) == count, len(book.suspected)
+
+
 @when('agent "{name}" starts again')
 def start_again(context, name):
     call(context, context.fleet.start, name)
@@ -277,6 +305,37 @@
         assert context.watches[name].suspicions == 0, name
 
 
+@then(
+    "no balancer sends more than {limit:d} bytes in any of the next"
+    " {seconds:d} s, {gossip_limit:d} of them gossip"
+)
+def check_budget(context, limit, seconds, gossip_limit):
+    nodes = [context.fleet.nodes[name] for name in context.fleet.balancers]
+    for _ in range(seconds):
+        before = [count_sent(node) for node in nodes]
+        run_for(context, 1)
+        for node, (all_before, gossip_before) in zip(
+            nodes, before, strict=True
+        ):
+            all_now, gossip_now = count_sent(node)
+            assert all_now - all_before <= limit, all_now - all_before
+            gossip = gossip_now - gossip_before
+            assert gossip <= gossip_limit, gossip
+    assert all(min(count_sent(node)) > 0 for node in nodes)
+
+
+def count_sent(node):
+    gossip = node.socket.kind_bytes[MessageKind.SUSPICION]
+    return node.socket.sent_bytes, gossip
+
+
+@then("every balancer suspects the killed agents, and only those")
+def check_killed(context):
+    check_suspects = context.fleet.suspects_of
+    for name in context.fleet.balancers:
+        assert call(context, check_suspects, name) == context.killed
+
+
 @then("no balancer keeps a record, and each told that suspicions lapsed")
 def check_forgotten(context):
     for name in context.fleet.balancers:
@@ -297,8 +356,8 @@
 @then('"{name}" reported nothing')
 def check_no_report(context, name):
     socket = context.fleet.nodes[name].socket
-    assert socket.kinds[MessageKind.HEARTBEAT] > 0
-    assert socket.kinds[MessageKind.SUSPICION] == 0
+    assert socket.kind_bytes[MessageKind.HEARTBEAT] > 0
+    assert socket.kind_bytes[MessageKind.SUSPICION] == 0
 
 
 @then('its mates saw "{name}" restart once')
--- a/tests/standins/datagrams.py
+++ b/tests/standins/datagrams.py
@@ -89,8 +89,8 @@
     ----------
     sent_bytes : int
         Bytes sent, headers included.
-    kinds : Counter
-        Datagrams sent, by their first byte.
+    kind_bytes : Counter
+        Bytes sent, by the first byte of the datagrams.
     """
 
     def __init__(self, network: MemoryNetwork, address: Address):
@@ -98,7 +98,7 @@
         self.address = address
         self.taker = None
         self.sent_bytes = 0
-        self.kinds = Counter()
+        self.kind_bytes = Counter()
         self.waiting = []
         self.running = Event()
         self.running.set()
@@ -114,8 +114,9 @@
 
     def send(self, data, destination):
         """Send one datagram."""
-        self.kinds[data[0]] += 1
-        self.sent_bytes += DATAGRAM_HEADER_BYTES + len(data)
+        size = DATAGRAM_HEADER_BYTES + len(data)
+        self.kind_bytes[data[0]] += size
+        self.sent_bytes += size
         self.network.carry(data, self.address, destination)
         return True
 
