Suspect a failure domain as a whole when nobody there answers

Cause: one suspicion costs a balancer about 272 bytes of gossip each renewal (10 sends of 24 bytes and their share of headers), so 1 KB a second carries some 70 lasting suspicions; a failure domain has 3,166 agents and a cut region 12,600. A balancer that suspects three agents of a domain probes others there, one a second, and suspects the domain after six without an answer, unless nobody at all is heard. Ruled out: longer leases (first spread alone would take minutes), domain records by gossip (own evidence is as quick and cannot be wrong for others).

Seen failing first, each with its mechanism disabled: suspecting, needing six probes, hearing anybody, clearing on an answer, silence of gossip on covered agents, use in the chain, probing agents not suspected by themselves.

--- a/chicorycart/balancer/daemon.py
+++ b/chicorycart/balancer/daemon.py
@@ -70,8 +70,8 @@
             Random(),
             self.registry,
         )
-        chains = ChainCache(self.store, self.membership.suspicions)
-        self.membership.suspicions.subscribe(chains)
+        chains = ChainCache(self.store, self.membership.domains)
+        self.membership.subscribe(chains)
         self.forwarder = Forwarder(
             self.store,
             chains,
@@ -108,6 +108,7 @@
             "role": "balancer",
             "ready": self.is_ready(),
             "version": self.store.current.version,
+            "suspected_domains": sorted(self.membership.domains.suspected),
             "suspected": [
                 str(unpack_address(agent))
                 for agent in self.membership.suspicions.suspected
--- a/chicorycart/balancer/membership.py
+++ b/chicorycart/balancer/membership.py
@@ -16,6 +16,7 @@
 from chicorycart.defaults import SUSPICION_BYTES_PER_SECOND
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.peers import PeerLinks
+from chicorycart.membership.domains import DomainWatch
 from chicorycart.membership.evidence import Evidence
 from chicorycart.membership.gossip import Gossip
 from chicorycart.membership.heartbeats import NoLoad
@@ -27,6 +28,7 @@
 from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.peers import FlatPeers
 from chicorycart.membership.suspicions import SuspicionBook
+from chicorycart.membership.suspicions import SuspicionSubscriber
 from chicorycart.settings.model import DaemonSettings
 
 
@@ -55,7 +57,9 @@
     Attributes
     ----------
     suspicions : SuspicionBook
-        The suspected agents.
+        The suspected agents, one by one.
+    domains : DomainWatch
+        These, and the agents of suspected failure domains.
     balancers : Balancers
         To be told of each instance list.
     """
@@ -67,6 +71,7 @@
         "random",
         "gossip",
         "prober",
+        "domains",
     )
 
     def __init__(
@@ -102,12 +107,22 @@
         )
         self.prober = PathProber(self.suspicions, own, link, link)
         evidence.subscribe(self.prober)
+        self.domains = DomainWatch(
+            clock, self.suspicions, own, link, probes, random
+        )
+        evidence.subscribe(self.domains)
         link.register(MessageKind.HEARTBEAT, evidence)
         link.register(MessageKind.SUSPICION, self.gossip)
 
+    def subscribe(self, subscriber: SuspicionSubscriber) -> None:
+        """Tell the subscriber whenever the suspicions change."""
+        self.suspicions.subscribe(subscriber)
+        self.domains.subscribe(subscriber)
+
     def start(self) -> list[Task[None]]:
         """Begin to gossip and to check the paths to the agents."""
         return [
             create_task(self.gossip.run(self.detector, self.random)),
             create_task(self.prober.run(self.detector)),
+            create_task(self.domains.run(self.detector)),
         ]
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -389,3 +389,18 @@
 
 ADOPTED_FLOW_SECONDS = 60.0
 """Time for which an adopted flow is owned without a second packet."""
+
+DOMAIN_SUSPECTS = 3
+"""Suspected agents of a failure domain on which the domain is checked."""
+
+DOMAIN_PROBES = 6
+"""Agents probed in turn without an answer until their domain is suspected."""
+
+DOMAIN_CHECK_SECONDS = 1.0
+"""Time between two probes of a failure domain that is checked."""
+
+DOMAIN_RECHECK_SECONDS = 5.0
+"""Time between two probes of a failure domain that is suspected."""
+
+DOMAIN_DRAWN_AGENTS = 64
+"""Agents of a domain among which one is chosen for a probe."""
