--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -131,6 +131,7 @@
 
 MAX_PENDING_OPENINGS = 4_096
 """Opening packets of one agent that wait for claims."""
+
 STRENGTH_WINDOW_SECONDS = 10.0
 """Time between two changes of a target's measured strength."""
 
@@ -151,6 +152,7 @@
 
 SLOW_START_INITIAL_SHARE = 0.1
 """Share of its strength that a new target reports at its start."""
+
 HEARTBEAT_SECONDS = 1.0
 """Mean time between two heartbeats to the same mate."""
 
@@ -222,11 +224,13 @@
 
 DATAGRAM_HEADER_BYTES = 28
 """Bytes of the IPv4 and UDP headers of a datagram."""
+
 TOOL_TIMEOUT_SECONDS = 5.0
 """Time the command-line tool gives one daemon to answer."""
 
 DRAIN_POLL_SECONDS = 1.0
 """Time between two looks at a target whose drain is followed."""
+
 SKEWED_READ_TRIES = 3
 """Times that an index is read anew before a skewed read has failed."""
 
@@ -289,6 +293,7 @@
 
 DELTA_HISTORY = 1_024
 """Versions back to which a delta can be made."""
+
 REPLAY_BODY_BYTES = 65_536
 """Beginning of a request body that is kept to send it again."""
 
@@ -372,8 +377,6 @@
 
 MAX_FORWARD_HEADER_BYTES = 1_024
 """Size above which the header of a forwarded packet is refused."""
-MAX_SEARCH_LENGTH = 12
-"""Agents that one packet may be offered to while its owner is sought."""
 
 MAX_MOVED_PEERS = 64
 """Peers to which a process sends from another port than the published."""
@@ -395,6 +398,7 @@
 
 KEEPALIVE_TIMEOUT_SECONDS = 7.0
 """Silence after which a connection is closed."""
+
 ADOPTION_SECONDS = 7_200.0
 """Time after a start in which flows that nobody owns are adopted."""
 
@@ -410,11 +414,9 @@
 DOMAIN_CHECK_SECONDS = 1.0
 """Time between two probes of a failure domain that is checked."""
 
-MAX_PENDING_OPENINGS = 4_096
-"""Opening packets of one agent that wait for claims."""
-
 PACKED_ADDRESS_CACHE_ENTRIES = 4_096
 """Unpacked addresses that a process keeps ready."""
+
 DOMAIN_RECHECK_SECONDS = 5.0
 """Time between two probes of a failure domain that is suspected."""
 
