--- a/chicorycart/configuration/checksums.py
+++ b/chicorycart/configuration/checksums.py
@@ -18,8 +18,13 @@
     return xxh64_intdigest(f"{name}\0{digest}".encode())
 
 
+def weigh_version(version: int) -> int:
+    """Return what the number adds to the fingerprint of a version."""
+    return xxh64_intdigest(version.to_bytes(8, "big"))
+
+
 def sum_weights(weights: Iterable[int]) -> int:
-    """Return the fingerprint of a set of services.
+    """Return the checksum of a set of weights.
 
     A sum modulo 2**64 does not depend on the order and follows a change of
     one service without a look at the others.
--- a/chicorycart/configuration/errors.py
+++ b/chicorycart/configuration/errors.py
@@ -45,3 +45,19 @@
 
 class SkewedReadError(PlatformError):
     """A value that does not fit the index, since one of them changed."""
+
+
+class MessageError(ConfigurationError):
+    """A message of a peer that cannot be read."""
+
+
+class DeltaMismatchError(ConfigurationError):
+    """A delta that does not lead to the version that it names."""
+
+
+class PeerError(ConfigurationError):
+    """A peer did not answer, or not in the documented form."""
+
+
+class BusyError(ConfigurationError):
+    """The own process hands out no more for now."""
--- a/chicorycart/configuration/follow.py
+++ b/chicorycart/configuration/follow.py
@@ -1,80 +1,156 @@
-"""Keeps the configuration in force up to date with the platform."""
+"""Reads versions from the platform."""
 
-from collections.abc import Callable
+from asyncio import sleep
+from enum import Enum
+from random import Random
 
 from logbook import Logger
 
+from chicorycart.clock import Clock
 from chicorycart.configuration.backoff import Backoff
 from chicorycart.configuration.errors import PlatformError
 from chicorycart.configuration.errors import RefusedVersionError
-from chicorycart.configuration.metrics import ConfigurationMetrics
-from chicorycart.configuration.model import Configuration
+from chicorycart.configuration.keeper import VersionKeeper
 from chicorycart.configuration.platform import PlatformClient
-from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.configuration.readers import ReaderElection
+from chicorycart.defaults import PEER_SILENCE_SECONDS
+from chicorycart.defaults import PLATFORM_ALONE_SECONDS
+from chicorycart.defaults import PLATFORM_WATCH_SECONDS
+from chicorycart.defaults import READER_CHECK_SECONDS
 
 LOGGER = Logger("configuration")
+EARLY_SHARE = 0.5
+
+
+class ReadOutcome(Enum):
+    """What became of a read of the platform."""
+
+    TAKEN = "taken"
+    REFUSED = "refused"
+    NOTHING_LATER = "nothing later"
+    FAILED = "failed"
 
 
 class PlatformReader:
-    """Reads versions from the platform and hands them on.
+    """Reads versions from the platform and hands them to the keeper.
 
     Parameters
     ----------
     client : PlatformClient
         Reads the platform.
-    store : ConfigurationStore
-        Gives the version that is already in force.
-    take : callable
+    keeper : VersionKeeper
         Takes each later version.
     backoff : Backoff
         Spaces the tries after a failure.
-    metrics : ConfigurationMetrics
-        Shows failures and refusals.
+    clock : Clock
+        Tells a watch that was answered too early.
     """
 
-    __slots__ = ("client", "store", "take", "backoff", "metrics")
+    __slots__ = ("client", "keeper", "backoff", "clock")
 
     def __init__(
         self,
         client: PlatformClient,
-        store: ConfigurationStore,
-        take: Callable[[Configuration], None],
+        keeper: VersionKeeper,
         backoff: Backoff,
-        metrics: ConfigurationMetrics,
+        clock: Clock,
     ):
         self.client = client
-        self.store = store
-        self.take = take
+        self.keeper = keeper
         self.backoff = backoff
-        self.metrics = metrics
-
-    async def watch_forever(self) -> None:
-        """Watch the platform for as long as the process runs."""
-        while True:
-            await self.watch_once()
+        self.clock = clock
 
     async def watch_once(self) -> None:
-        """Wait for one change, or back off after a failure."""
-        await self.run(self.client.watch_configuration)
+        """Wait for one change; back off if that was of no use.
+
+        A watch that is answered at once without a later version, as by a
+        stale platform, counts as a failure.
+        """
+        began = self.clock.now()
+        outcome = await self.run(self.client.watch_configuration)
+        is_early = (
+            self.clock.now() - began < EARLY_SHARE * PLATFORM_WATCH_SECONDS
+        )
+        if outcome is ReadOutcome.FAILED or (
+            outcome is ReadOutcome.NOTHING_LATER and is_early
+        ):
+            await self.backoff.wait()
+        else:
+            self.backoff.reset()
 
-    async def read_once(self) -> None:
+    async def read_once(self) -> ReadOutcome:
         """Read without waiting for a change."""
-        await self.run(self.client.read_configuration)
+        return await self.run(self.client.read_configuration)
 
-    async def run(self, read) -> None:
+    async def run(self, read) -> ReadOutcome:
         """Take what a read gives; log and count why it gives nothing."""
         try:
-            configuration = await read(self.store.current)
+            configuration = await read(self.keeper.store.current)
         except RefusedVersionError as error:
-            LOGGER.error("event=refused error={!r}", str(error))
-            self.metrics.refused.inc()
-            self.metrics.refused_version.set(error.version)
-            return
+            self.keeper.refuse(error)
+            return ReadOutcome.REFUSED
         except PlatformError as error:
             LOGGER.warning("event=read_failed error={!r}", str(error))
-            self.metrics.failed.labels("platform").inc()
-            await self.backoff.wait()
-            return
-        self.backoff.reset()
-        if configuration is not None:
-            self.take(configuration)
+            self.keeper.metrics.failed.labels("platform").inc()
+            return ReadOutcome.FAILED
+        if configuration is None or not self.keeper.take(configuration):
+            return ReadOutcome.NOTHING_LATER
+        return ReadOutcome.TAKEN
+
+
+class ReadingTurns:
+    """Tells when the own process may call the platform.
+
+    Readers may always do so, at their own rate. Any other process may read
+    now and then while it hears of no peer.
+
+    Parameters
+    ----------
+    election : ReaderElection
+        Tells who reads, and who was heard.
+    clock : Clock
+        Measures the silence.
+    random : Random
+        Spreads the reads of processes that hear nobody.
+    """
+
+    __slots__ = ("election", "clock", "random", "alone_at")
+
+    def __init__(
+        self, election: ReaderElection, clock: Clock, random: Random
+    ):
+        self.election = election
+        self.clock = clock
+        self.random = random
+        self.alone_at: float | None = None
+
+    def take_alone_turn(self) -> bool:
+        """Tell whether a process without peers may read once now."""
+        now = self.clock.now()
+        if self.election.table.has_heard_any(PEER_SILENCE_SECONDS):
+            self.alone_at = None
+            return False
+        if self.alone_at is None:
+            wait = self.random.uniform(0, PLATFORM_ALONE_SECONDS)
+            self.alone_at = now + PEER_SILENCE_SECONDS + wait
+        if now < self.alone_at:
+            return False
+        self.alone_at = now + PLATFORM_ALONE_SECONDS
+        return True
+
+    def take_turn(self) -> bool:
+        """Tell whether the own process may read once now."""
+        return self.election.is_reader() or self.take_alone_turn()
+
+
+async def follow_platform(
+    reader: PlatformReader, turns: ReadingTurns, random: Random
+) -> None:
+    """Read or watch when it is the own turn, for as long as it runs."""
+    while True:
+        if turns.election.is_reader():
+            await reader.watch_once()
+        elif turns.take_alone_turn():
+            await reader.read_once()
+        else:
+            await sleep(random.uniform(0.5, 1.5) * READER_CHECK_SECONDS)
--- a/chicorycart/configuration/model.py
+++ b/chicorycart/configuration/model.py
@@ -8,6 +8,7 @@
 from chicorycart.address import Address
 from chicorycart.configuration.checksums import sum_weights
 from chicorycart.configuration.checksums import weigh_service
+from chicorycart.configuration.checksums import weigh_version
 
 
 def hash_name(name: str) -> int:
@@ -188,12 +189,17 @@
         return {s.identifier: s for s in self.services.values()}
 
     @cached_property
-    def fingerprint(self) -> int:
+    def content(self) -> int:
         """Checksum over the names and digests of all services."""
         return sum_weights(
             weigh_service(name, service.digest)
             for name, service in self.services.items()
         )
 
+    @property
+    def fingerprint(self) -> int:
+        """Checksum over the version and its content."""
+        return sum_weights((self.content, weigh_version(self.version)))
+
 
 EMPTY_CONFIGURATION = Configuration(0, {})
--- a/chicorycart/configuration/pace.py
+++ b/chicorycart/configuration/pace.py
@@ -43,6 +43,10 @@
         self.level -= amount
         return True
 
+    def owe(self, amount: float) -> None:
+        """Take the tokens, even if the level falls below 0."""
+        self.level -= amount
+
     async def take(self, amount: float) -> None:
         """Wait until the tokens are there and take them.
 
--- /dev/null
+++ b/chicorycart/configuration/rumours.py
@@ -0,0 +1,166 @@
+"""Pushes each later version to a few peers as soon as it is in force."""
+
+from prometheus_client import Counter
+
+from chicorycart.address import Address
+from chicorycart.configuration.delta import DeltaHistory
+from chicorycart.configuration.errors import DeltaMismatchError
+from chicorycart.configuration.fetch import VersionFetcher
+from chicorycart.configuration.keeper import VersionKeeper
+from chicorycart.configuration.messages import decode_delta
+from chicorycart.configuration.messages import decode_rumour
+from chicorycart.configuration.messages import Delta
+from chicorycart.configuration.messages import encode_delta
+from chicorycart.configuration.messages import encode_rumour
+from chicorycart.configuration.messages import Rumour
+from chicorycart.configuration.model import Configuration
+from chicorycart.configuration.pace import TokenBucket
+from chicorycart.configuration.peers import PeerPicker
+from chicorycart.configuration.peers import PeerTable
+from chicorycart.defaults import MAX_ENCODED_RUMOURS
+from chicorycart.defaults import MAX_PUSHED_SERVICES
+from chicorycart.defaults import MAX_RUMOUR_BYTES
+from chicorycart.defaults import RUMOUR_FANOUT
+from chicorycart.links.datagrams import MessageKind
+from chicorycart.links.datagrams import Sender
+
+DATAGRAM_OVERHEAD_BYTES = 29
+
+
+class PacedSender:
+    """Sends datagrams within a budget of bytes.
+
+    What is held back is not sent later, since the comparison of versions
+    with peers makes up for it.
+
+    Parameters
+    ----------
+    sender : Sender
+        Sends to other processes.
+    bucket : TokenBucket
+        Holds the bytes that may be sent.
+    events : Counter
+        Counts what was held back.
+    """
+
+    __slots__ = ("sender", "bucket", "events")
+
+    def __init__(self, sender: Sender, bucket: TokenBucket, events: Counter):
+        self.sender = sender
+        self.bucket = bucket
+        self.events = events
+
+    def send(
+        self, kind: MessageKind, body: bytes, destination: Address
+    ) -> None:
+        """Send one message if the budget allows it."""
+        if not self.bucket.try_take(len(body) + DATAGRAM_OVERHEAD_BYTES):
+            self.events.labels("held back").inc()
+            return
+        self.sender.send(kind, body, destination)
+
+
+class RumourExchange:
+    """Sends and takes rumours.
+
+    Each process pushes each version once, to a few peers; the comparison
+    of versions reaches those whom no push reached.
+
+    Parameters
+    ----------
+    keeper : VersionKeeper
+        Takes later versions.
+    history : DeltaHistory
+        Makes the deltas.
+    fetcher : VersionFetcher
+        Fetches a version whose delta was too large or did not fit.
+    table : PeerTable
+        Is told who was heard.
+    picker : PeerPicker
+        Chooses whom to push to.
+    sender : PacedSender
+        Sends to peers.
+    """
+
+    __slots__ = (
+        "keeper",
+        "history",
+        "fetcher",
+        "table",
+        "picker",
+        "sender",
+        "encoded",
+    )
+
+    def __init__(
+        self,
+        keeper: VersionKeeper,
+        history: DeltaHistory,
+        fetcher: VersionFetcher,
+        table: PeerTable,
+        picker: PeerPicker,
+        sender: PacedSender,
+    ):
+        self.keeper = keeper
+        self.history = history
+        self.fetcher = fetcher
+        self.table = table
+        self.picker = picker
+        self.sender = sender
+        self.encoded: dict[int, bytes] = {}
+
+    def change_configuration(self, configuration: Configuration) -> None:
+        """Push the version that came into force."""
+        self.encoded.clear()
+        steps = self.history.steps
+        base = steps[-1].base if steps else 0
+        for peer in self.picker.pick(RUMOUR_FANOUT):
+            self.send_rumour(base, peer.data)
+
+    def send_rumour(self, base: int, destination: Address) -> None:
+        """Send the version in force to a peer that has the base."""
+        body = self.encoded.get(base)
+        if body is None:
+            body = self.encode(base)
+            if len(self.encoded) >= MAX_ENCODED_RUMOURS:
+                self.encoded.clear()
+            self.encoded[base] = body
+        self.sender.send(MessageKind.VERSION_RUMOUR, body, destination)
+
+    def encode(self, base: int) -> bytes:
+        """Return a rumour, with the delta if that is small."""
+        delta = self.history.make_delta(base)
+        packed = b""
+        if may_be_pushed(delta):
+            packed = encode_delta(delta)
+        if len(packed) > MAX_RUMOUR_BYTES:
+            packed = b""
+        return encode_rumour(Rumour(delta.version, packed))
+
+    def receive(self, body: bytes, source: Address) -> None:
+        """Take one rumour; fetch the version if it brings no fit delta."""
+        rumour = decode_rumour(body)
+        self.table.note_heard(source)
+        if not self.keeper.is_news(rumour.version):
+            return
+        if rumour.delta and self.take_delta(decode_delta(rumour.delta)):
+            return
+        self.fetcher.notice(rumour.version, self.table.peers.get(source))
+
+    def take_delta(self, delta: Delta) -> bool:
+        """Take a pushed delta; False if the version must be fetched."""
+        if delta.base > self.keeper.version:
+            return False
+        try:
+            self.keeper.take_delta(delta)
+        except DeltaMismatchError:
+            self.keeper.metrics.failed.labels("mismatch").inc()
+            return False
+        return True
+
+
+def may_be_pushed(delta: Delta) -> bool:
+    """Tell whether a delta may be small enough once it is compressed."""
+    return 0 < delta.base < delta.version and (
+        len(delta.changed) <= MAX_PUSHED_SERVICES
+    )
--- /dev/null
+++ b/chicorycart/configuration/start.py
@@ -0,0 +1,149 @@
+"""Decides from when on a process may serve with the version it has."""
+
+from asyncio import gather
+from random import Random
+
+from logbook import Logger
+
+from chicorycart.clock import Clock
+from chicorycart.configuration.backoff import Backoff
+from chicorycart.configuration.errors import PeerError
+from chicorycart.configuration.fetch import VersionFetcher
+from chicorycart.configuration.follow import PlatformReader
+from chicorycart.configuration.follow import ReadingTurns
+from chicorycart.configuration.follow import ReadOutcome
+from chicorycart.configuration.keeper import VersionKeeper
+from chicorycart.configuration.peers import Peer
+from chicorycart.configuration.peers import PeerPicker
+from chicorycart.defaults import READERS_PER_DOMAIN
+from chicorycart.defaults import START_PEERS
+from chicorycart.defaults import START_WAIT_SECONDS
+
+LOGGER = Logger("configuration")
+
+
+class Answer:
+    """The version that a peer has in force."""
+
+    __slots__ = ("peer", "version")
+
+    def __init__(self, peer: Peer, version: int):
+        self.peer = peer
+        self.version = version
+
+
+class StartGate:
+    """Holds a process back until it knows the highest version around.
+
+    In each round it asks readers of its domain and other peers, and the
+    platform if it is its own turn to read. It serves after
+    a round in which it has in force, at least, the highest version that
+    was answered, and in which all who were asked answered or the longest
+    wait was over. With no version at all it does not serve.
+
+    Parameters
+    ----------
+    keeper : VersionKeeper
+        Tells the version in force.
+    reader : PlatformReader
+        Reads the platform.
+    turns : ReadingTurns
+        Tells who reads in the own domain.
+    fetcher : VersionFetcher
+        Asks and reads peers.
+    picker : PeerPicker
+        Chooses peers besides the readers.
+    random : Random
+        Spreads the rounds.
+    clock : Clock
+        Measures the wait.
+
+    Attributes
+    ----------
+    is_open : bool
+        Whether the process may serve.
+    """
+
+    __slots__ = (
+        "keeper",
+        "reader",
+        "turns",
+        "fetcher",
+        "picker",
+        "random",
+        "clock",
+        "is_open",
+        "resumed",
+    )
+
+    def __init__(
+        self,
+        keeper: VersionKeeper,
+        reader: PlatformReader,
+        turns: ReadingTurns,
+        fetcher: VersionFetcher,
+        picker: PeerPicker,
+        random: Random,
+        clock: Clock,
+    ):
+        self.keeper = keeper
+        self.reader = reader
+        self.turns = turns
+        self.fetcher = fetcher
+        self.picker = picker
+        self.random = random
+        self.clock = clock
+        self.is_open = False
+        self.resumed = 0
+
+    def close(self) -> None:
+        """Make what was answered so far count no longer."""
+        self.is_open = False
+        self.resumed += 1
+
+    async def run(self) -> None:
+        """Ask in rounds until the process may serve."""
+        deadline = self.clock.now() + START_WAIT_SECONDS
+        backoff = Backoff(self.random)
+        while not self.is_open:
+            resumed = self.resumed
+            if not await self.ask_round(deadline):
+                await backoff.wait()
+            elif resumed == self.resumed:
+                self.is_open = True
+        LOGGER.info("event=started version={}", self.keeper.version)
+
+    async def ask_round(self, deadline: float) -> bool:
+        """Ask everybody once; return whether the process may serve."""
+        asked = self.choose_peers()
+        answers = await gather(*(self.ask(peer) for peer in asked))
+        heard = [answer for answer in answers if answer is not None]
+        heard.sort(key=lambda answer: answer.version, reverse=True)
+        outcome = ReadOutcome.NOTHING_LATER
+        if self.turns.take_turn():
+            outcome = await self.reader.read_once()
+        for answer in heard:
+            if self.keeper.is_news(answer.version):
+                await self.fetcher.fetch_from(answer.peer)
+        highest = heard[0].version if heard else 0
+        if not self.keeper.version or self.keeper.is_news(highest):
+            return False
+        has_read = outcome is not ReadOutcome.FAILED
+        is_complete = has_read and len(heard) == len(asked)
+        return is_complete or self.clock.now() >= deadline
+
+    def choose_peers(self) -> list[Peer]:
+        """Return readers of the own domain and other peers."""
+        chosen = {p.name: p for p in self.picker.pick(START_PEERS)}
+        first = self.turns.election.list_ranked()[:READERS_PER_DOMAIN]
+        chosen.update((peer.name, peer) for peer in first)
+        return list(chosen.values())
+
+    async def ask(self, peer: Peer) -> Answer | None:
+        """Return a peer's answer, None if it is silent."""
+        try:
+            version = await self.fetcher.source.fetch_version(peer)
+        except PeerError:
+            return None
+        self.turns.election.table.note_heard(peer.data)
+        return Answer(peer, version)
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -105,10 +105,10 @@
 DIGEST_SECONDS = 1.0
 """Time between two exchanges of versions with a peer."""
 
-GOSSIP_BYTES_PER_SECOND = 1_500.0
+VERSION_BYTES_PER_SECOND = 1_500.0
 """Bytes that one process sends for the configuration, on average."""
 
-GOSSIP_BYTES_BURST = 60_000.0
+VERSION_BYTES_BURST = 60_000.0
 """Bytes that one process may send at once for the configuration."""
 
 FETCH_TRIES = 4
@@ -125,3 +125,39 @@
 
 DELTA_HISTORY = 1_024
 """Versions back to which a delta can be made."""
+
+MAX_DELTA_BYTES = 33_554_432
+"""Largest delta that is taken, once decompressed."""
+
+PEER_KEEP_SECONDS = 120.0
+"""Time for which a peer that the list leaves out stays after a datagram."""
+
+MAX_KEPT_PEERS = 256
+"""Peers that are kept although the list leaves them out."""
+
+FETCHES_PER_SECOND = 0.5
+"""Reads of one process from its peers, on average."""
+
+FETCHES_BURST = 8.0
+"""Reads that one process may make from its peers at once."""
+
+PARSE_BATCH = 16
+"""Services that are parsed before other work gets its turn."""
+
+MAX_PUSHED_SERVICES = 16
+"""Services up to which a delta is tried for a push."""
+
+MAX_ENCODED_RUMOURS = 64
+"""Rumours of the version in force that are kept encoded."""
+
+READER_CHECK_SECONDS = 1.0
+"""Time between two looks at whether the own process is a reader."""
+
+SNAPSHOT_BYTES_PER_SECOND = 1_000.0
+"""Bytes of deltas that one process hands out to peers, on average."""
+
+SNAPSHOT_BYTES_BURST = 2_000_000.0
+"""Bytes of deltas that one process may hand out at once."""
+
+START_ANSWER_SECONDS = 2.0
+"""Time that a peer has to tell its version to a starting process."""
--- a/chicorycart/links/datagrams.py
+++ b/chicorycart/links/datagrams.py
@@ -15,6 +15,10 @@
     """The first byte of every datagram between processes."""
 
     FORWARD = 1
+    VERSION_RUMOUR = 6
+    VERSION_DIGEST = 7
+    SUBSCRIPTION = 8
+    SERVICE_UPDATE = 9
 
 
 class Receiver(Protocol):
