--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -10,6 +10,7 @@
 from chicorycart.agent.acceptance import TargetAcceptance
 from chicorycart.agent.delivery import Delivery
 from chicorycart.agent.host import DecapsulatingHost
+from chicorycart.agent.pages import list_pages
 from chicorycart.clock import LoopClock
 from chicorycart.configuration.backoff import Backoff
 from chicorycart.configuration.follow import PlatformReader
@@ -30,7 +31,9 @@
 from chicorycart.membership.sources import KnownSources
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.operation.endpoints import serve_endpoints
-from chicorycart.requests.gateway import serve_requests
+from chicorycart.requests.build import build_gateway
+from chicorycart.requests.mates import NoMateLoads
+from chicorycart.requests.server import RequestServer
 from chicorycart.settings.model import AgentSettings
 
 
@@ -79,6 +82,18 @@
             ConfigurationMetrics(self.registry),
         )
         self.stopping = False
+        self.requests: RequestServer | None = None
+        if settings.gateway is not None:
+            gateway = build_gateway(
+                settings,
+                self.store,
+                self.sources,
+                NoMateLoads(),
+                clock,
+                Random(),
+                self.registry,
+            )
+            self.requests = RequestServer(gateway)
 
     def is_ready(self) -> bool:
         """Tell whether a configuration is in force and no stop began."""
@@ -86,6 +101,7 @@
 
     def describe_status(self) -> dict[str, Any]:
         """Return name, role, version in force and owned flows."""
+        self.table.expire()
         return {
             "name": self.settings.daemon.name,
             "role": "agent",
@@ -99,11 +115,10 @@
     async def run(self, stop: Event) -> None:
         """Serve until the event is set."""
         daemon = self.settings.daemon
-        servers = [serve_endpoints(daemon.control, self.registry, self)]
-        if self.settings.gateway is not None:
-            servers.append(
-                serve_requests(self.settings.gateway, self.settings.backend)
-            )
+        pages = list_pages(self.settings.target, self.table)
+        servers = [serve_endpoints(daemon.control, self.registry, self, pages)]
+        if self.requests is not None:
+            self.requests.listen(self.settings.gateway)
         tasks = [
             create_task(self.reader.watch_forever()),
             create_task(follow_instances(self.platform, self.sources)),
@@ -111,6 +126,8 @@
         self.data_socket.start(self.link)
         await stop.wait()
         self.stopping = True
+        if self.requests is not None:
+            await self.requests.stop(self.settings.stop_seconds)
         for task in tasks:
             task.cancel()
         for server in servers:
--- a/chicorycart/configuration/parse.py
+++ b/chicorycart/configuration/parse.py
@@ -84,6 +84,7 @@
 
 def parse_target(path: str, value: dict[str, Any]) -> Target:
     """Build one target from a value that the schema has passed."""
+    gateway = value.get("gateway")
     return Target(
         value["name"],
         read_address(f"{path}.agent", value["agent"]),
@@ -91,6 +92,7 @@
         float(value.get("weight", DEFAULT_WEIGHT)),
         value.get("slots", DEFAULT_SLOTS),
         TargetState(value.get("state", "active")),
+        gateway and read_address(f"{path}.gateway", gateway),
     )
 
 
