--- a/chicorycart/configuration/backoff.py
+++ b/chicorycart/configuration/backoff.py
@@ -26,8 +26,8 @@
         """Begin anew after a success."""
         self.limit = BACKOFF_INITIAL_SECONDS
 
-    async def wait(self) -> None:
-        """Wait before the next try."""
-        delay = self.random.uniform(0, self.limit)
+    async def wait(self, longest: float = BACKOFF_MAX_SECONDS) -> None:
+        """Wait before the next try, but no longer than told."""
+        delay = min(self.random.uniform(0, self.limit), longest)
         self.limit = min(2 * self.limit, BACKOFF_MAX_SECONDS)
         await sleep(delay)
--- a/chicorycart/configuration/fetch.py
+++ b/chicorycart/configuration/fetch.py
@@ -130,8 +130,9 @@
                 break
             await self.pace.take(1)
             await self.fetch_from(peer)
-        self.wanted = 0
-        self.holders.clear()
+        if not self.noticed.is_set():
+            self.wanted = 0
+            self.holders.clear()
 
     def next_peer(self) -> Peer | None:
         """Return the next announcer, or any peer when there is none."""
--- a/chicorycart/configuration/follow.py
+++ b/chicorycart/configuration/follow.py
@@ -116,9 +116,7 @@
 
     __slots__ = ("election", "clock", "random", "alone_at")
 
-    def __init__(
-        self, election: ReaderElection, clock: Clock, random: Random
-    ):
+    def __init__(self, election: ReaderElection, clock: Clock, random: Random):
         self.election = election
         self.clock = clock
         self.random = random
--- a/chicorycart/configuration/messages.py
+++ b/chicorycart/configuration/messages.py
@@ -134,9 +134,7 @@
         removed=delta.removed,
     )
     values = message.init("changed", len(delta.changed))
-    for value, (name, body) in zip(
-        values, delta.changed.items(), strict=True
-    ):
+    for value, (name, body) in zip(values, delta.changed.items(), strict=True):
         value.name = name
         value.body = body
     return zlib.compress(message.to_bytes())
--- a/chicorycart/configuration/start.py
+++ b/chicorycart/configuration/start.py
@@ -15,6 +15,7 @@
 from chicorycart.configuration.keeper import VersionKeeper
 from chicorycart.configuration.peers import Peer
 from chicorycart.configuration.peers import PeerPicker
+from chicorycart.defaults import BACKOFF_MAX_SECONDS
 from chicorycart.defaults import READERS_PER_DOMAIN
 from chicorycart.defaults import START_PEERS
 from chicorycart.defaults import START_WAIT_SECONDS
@@ -108,7 +109,8 @@
         while not self.is_open:
             resumed = self.resumed
             if not await self.ask_round(deadline):
-                await backoff.wait()
+                left = deadline - self.clock.now()
+                await backoff.wait(left if left > 0 else BACKOFF_MAX_SECONDS)
             elif resumed == self.resumed:
                 self.is_open = True
         LOGGER.info("event=started version={}", self.keeper.version)
--- /dev/null
+++ b/tests/configuration/exchange_steps.py
@@ -0,0 +1,363 @@
+"""Steps on the exchange of versions among balancers."""
+
+from asyncio import sleep
+
+from behave import given
+from behave import then
+from behave import when
+
+from chicorycart.configuration.messages import Delta
+from chicorycart.configuration.messages import encode_delta
+from chicorycart.configuration.messages import encode_rumour
+from chicorycart.configuration.messages import Rumour
+from chicorycart.defaults import FETCH_TRIES
+from chicorycart.links.datagrams import MessageKind
+from tests.configuration.builders import bodies_of
+from tests.configuration.builders import bodies_on
+from tests.configuration.builders import publish
+from tests.configuration.fleet import Fleet
+
+IN_FORCE_SECONDS = 9
+KINDS = {
+    "digest": MessageKind.VERSION_DIGEST,
+    "push": MessageKind.VERSION_RUMOUR,
+}
+
+
+@given("{count:d} balancers in {domains:d} domains with version 1 in force")
+def start_fleet(context, count, domains):
+    async def start():
+        context.fleet = Fleet(context.platform, count, domains)
+        context.fleet.start()
+        await context.fleet.wait_in_force(1, 20)
+
+    context.run(start())
+
+
+def change(context):
+    version = context.platform.version
+    number = version % len(context.platform.services)
+    value = publish(number, weight=2.0 + version)
+    return context.platform.patch(version, {f"s-{number}": value})
+
+
+def change_and_wait(context, seconds=IN_FORCE_SECONDS, members=None):
+    version = change(context)
+    context.run(context.fleet.wait_in_force(version, seconds, members))
+
+
+def inside(context, function, *arguments):
+    """Call a function on the running loop, where clocks need it."""
+
+    async def call():
+        return function(*arguments)
+
+    return context.run(call())
+
+
+def restart(member):
+    member.stop()
+    member.start()
+
+
+def assert_never_back(context):
+    lives = [life for m in context.fleet.members for life in m.lives]
+    assert all(life == sorted(set(life)) for life in lives)
+
+
+@when("{percent:d} % of the datagrams are lost")
+def lose(context, percent):
+    context.fleet.loss = percent / 100
+
+
+@then("each of {count:d} changes is in force everywhere within 9 seconds")
+def changes_in_force(context, count):
+    for _ in range(count):
+        change_and_wait(context)
+    expected = bodies_on(context.platform.services)
+    for member in context.fleet.members:
+        assert bodies_of(member.store.current) == expected
+
+
+@then("only 2 balancers of each domain called the platform")
+def few_readers(context):
+    callers = [m for m in context.fleet.members if m.values.calls]
+    domains = sorted(m.entry.domain for m in callers)
+    assert domains == sorted(2 * ["domain-0", "domain-1"]), domains
+
+
+@when("no {message} arrives")
+def drop_kind(context, message):
+    context.fleet.dropped.add(KINDS[message])
+
+
+@then("{count:d} changes reach {percent:d} % of the balancers")
+def changes_reach(context, count, percent):
+    members = context.fleet.members
+    for _ in range(count):
+        change(context)
+        context.run(sleep(IN_FORCE_SECONDS))
+    changes = range(2, 2 + count)
+    reached = [
+        (member.entry.name, version) in context.fleet.in_force_at
+        for member in members
+        for version in changes
+    ]
+    assert sum(reached) >= percent / 100 * len(reached), sum(reached)
+
+
+@when("the platform is down for {seconds:d} seconds")
+def platform_down(context, seconds):
+    context.platform.is_down = True
+    context.calls = {m: m.values.calls for m in context.fleet.members}
+    context.down_seconds = seconds
+
+
+@when("{count:d} balancers restart meanwhile")
+def restart_meanwhile(context, count):
+    members = context.fleet.members[:count]
+
+    async def restart_all():
+        await sleep(context.down_seconds / 2)
+        for member in members:
+            restart(member)
+            context.calls[member] = 0
+        await context.fleet.wait_in_force(1, IN_FORCE_SECONDS, members)
+        await sleep(context.down_seconds / 2)
+
+    context.run(restart_all())
+
+
+@then("those serve version 1 within 9 seconds, learned from peers")
+def learned_from_peers(context):
+    restarted = context.fleet.members[:3]
+    assert all(m.lives[-1] == [1] for m in restarted)
+    assert sum(len(m.served) for m in context.fleet.members) >= 3
+
+
+@then("nobody called the platform more than {calls:d} times in that hour")
+def backed_off(context, calls):
+    made = [m.values.calls - c for m, c in context.calls.items()]
+    assert max(made) <= calls, max(made)
+
+
+@then("version 2 is in force {seconds:d} seconds after its return")
+def platform_returns(context, seconds):
+    context.platform.is_down = False
+    change_and_wait(context, seconds)
+
+
+@when("version 2 is in force and the platform then serves version 1")
+def go_stale(context):
+    old = context.platform.services
+    change_and_wait(context)
+    context.platform.stale = (1, old)
+
+
+@when("{count:d} balancers restart in turn within {seconds:d} seconds")
+def restart_in_turn(context, count, seconds):
+    async def restart_each():
+        for member in context.fleet.members[:count]:
+            await sleep(seconds / count)
+            restart(member)
+            await context.fleet.wait_in_force(2, 20, [member])
+
+    context.run(restart_each())
+
+
+@then("every balancer serves version 2 and no life ever went back")
+def all_second(context):
+    context.run(context.fleet.wait_in_force(2, 0))
+    assert_never_back(context)
+
+
+@when("half of the balancers are cut off from the others and the platform")
+def cut_half(context):
+    members = context.fleet.members
+    context.connected = members[::2]
+    context.cut = members[1::2]
+    for member in context.cut:
+        member.side = 1
+    context.run(sleep(60))
+
+
+@when("version 2 is published")
+def publish_second(context):
+    change(context)
+
+
+@then("it is in force on the connected side within 9 seconds")
+def connected_side(context):
+    wait = context.fleet.wait_in_force(2, IN_FORCE_SECONDS, context.connected)
+    context.run(wait)
+
+
+@then("the others go on with version 1")
+def cut_side(context):
+    context.run(sleep(600))
+    assert {m.version for m in context.cut} == {1}
+    assert all(m.exchange.is_serving for m in context.cut)
+
+
+@then("it is in force everywhere within 9 seconds of the healing")
+def heal(context):
+    for member in context.cut:
+        member.side = 0
+    context.run(context.fleet.wait_in_force(2, IN_FORCE_SECONDS))
+
+
+@when("the other domains are cut off")
+def cut_domains(context):
+    for member in context.fleet.members:
+        member.side = int(member.entry.domain != "domain-0")
+
+
+@when("both readers of the domain die")
+def readers_die(context):
+    members = [m for m in context.fleet.members if m.side == 0]
+    readers = [
+        member
+        for member in members
+        if inside(context, member.exchange.turns.election.is_reader)
+    ]
+    assert len(readers) == 2
+    for member in readers:
+        member.stop()
+    context.left = [m for m in members if m.is_up()]
+
+
+@then("version 2 is in force in that domain within {seconds:d} seconds")
+def domain_in_force(context, seconds):
+    change_and_wait(context, seconds, context.left)
+
+
+@when("a balancer is paused while versions 2 to 6 come into force")
+def pause(context):
+    paused = context.paused = context.fleet.members[5]
+    paused.pause()
+    others = [m for m in context.fleet.members if m is not paused]
+    for _ in range(5):
+        change_and_wait(context, members=others)
+    assert paused.version == 1
+
+
+@when("it wakes up and is told how late it is")
+def wake(context):
+    async def wake_and_watch():
+        paused = context.paused
+        paused.wake(60.0)
+        context.seen = []
+        for _ in range(900):
+            if paused.exchange.is_serving:
+                context.seen.append(paused.version)
+            await sleep(0.01)
+
+    context.run(wake_and_watch())
+
+
+@then("it serves nothing until it has version 6")
+def served_latest(context):
+    assert context.seen
+    assert set(context.seen) == {6}, set(context.seen)
+
+
+@then("no other balancer went back")
+def nobody_back(context):
+    assert_never_back(context)
+    assert {m.version for m in context.fleet.members} == {6}
+
+
+@when("the platform is stale at version 1 and only one peer has version 2")
+def one_has_second(context):
+    old = context.platform.services
+    members = context.fleet.members
+    change_and_wait(context)
+    context.platform.stale = (1, old)
+    for member in members[1:]:
+        inside(context, restart, member)
+        member.side = 1
+
+
+@when("a balancer that reaches just that peer restarts")
+def restart_beside(context):
+    member = context.restarted = context.fleet.members[3]
+    member.side = 0
+    inside(context, restart, member)
+    context.run(context.fleet.wait_in_force(2, 60, [member]))
+
+
+@then("it serves version 2, never version 1")
+def never_first(context):
+    assert context.restarted.lives[-1][-1] == 2
+
+
+@when("a list comes that leaves out every other balancer")
+def wrong_list(context):
+    for member in context.fleet.members:
+        table = member.table
+        inside(context, table.change_instances, context.fleet.listed[::2])
+
+
+@then("a change is in force everywhere within 9 seconds")
+def change_in_force(context):
+    change_and_wait(context)
+
+
+@when("version 2 is in force everywhere but on one that gets no datagrams")
+def deaf(context):
+    other = next(m for m in context.fleet.members if not m.values.calls)
+    context.other = other
+    context.fleet.deaf.add(other)
+    others = [m for m in context.fleet.members if m is not other]
+    change_and_wait(context, members=others)
+    assert other.version == 1
+
+
+@when("a packet with version 2 reaches that one")
+def packet(context):
+    inside(context, context.other.exchange.notice_version, 2)
+
+
+@then("that balancer has it within 2 seconds")
+def has_it(context):
+    context.run(context.fleet.wait_in_force(2, 2, [context.other]))
+
+
+@then("a false version 99 makes it call 4 peers and no more")
+def false_version(context):
+    calls = []
+    context.run(sleep(IN_FORCE_SECONDS))
+    honest = context.other.exchange.fetcher.source.fetch_delta
+
+    async def count(peer, after):
+        calls.append(peer)
+        return await honest(peer, after)
+
+    context.other.fetch_delta = count
+    inside(context, context.other.exchange.notice_version, 99)
+    context.run(sleep(120))
+    assert len(calls) == FETCH_TRIES, len(calls)
+
+
+@when("a balancer gets a delta for version 2 with a wrong value in it")
+def wrong_delta(context):
+    change(context)
+    member = context.other = context.fleet.members[2]
+    right = context.platform.services["s-1"]
+    wrong = bodies_on({"s-1": {**right, "kind": "packet"}})
+    delta = Delta(1, 2, 12345, wrong, [])
+    body = encode_rumour(Rumour(2, encode_delta(delta)))
+    source = context.fleet.members[4].entry.data
+
+    inside(context, member.take, MessageKind.VERSION_RUMOUR, body, source)
+    assert member.version == 1
+
+
+@then("it drops that and soon has version 2 as the platform has it")
+def drops_wrong(context):
+    context.run(context.fleet.wait_in_force(2, IN_FORCE_SECONDS))
+    sample = context.other.registry.get_sample_value
+    name = "chicorycart_configuration_reads_failed_total"
+    assert sample(name, {"source": "mismatch"}) == 1
+    current = context.other.store.current
+    assert bodies_of(current) == bodies_on(context.platform.services)
