--- a/chicorycart/configuration/exchange.py
+++ b/chicorycart/configuration/exchange.py
@@ -13,6 +13,7 @@
 from chicorycart.configuration.digests import DigestExchange
 from chicorycart.configuration.fetch import DeltaSource
 from chicorycart.configuration.fetch import VersionFetcher
+from chicorycart.configuration.follow import AloneTurns
 from chicorycart.configuration.follow import follow_platform
 from chicorycart.configuration.follow import PlatformReader
 from chicorycart.configuration.follow import ReadingTurns
@@ -29,6 +30,7 @@
 from chicorycart.configuration.serving import DeltaServer
 from chicorycart.configuration.start import StartGate
 from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.configuration.subscriptions import SubscriptionTable
 from chicorycart.defaults import SNAPSHOT_BYTES_BURST
 from chicorycart.defaults import SNAPSHOT_BYTES_PER_SECOND
 from chicorycart.defaults import VERSION_BYTES_BURST
@@ -73,6 +75,7 @@
         "turns",
         "gate",
         "server",
+        "subscriptions",
         "waking",
     )
 
@@ -107,7 +110,9 @@
         self.digests = DigestExchange(
             self.keeper, self.rumours, self.fetcher, table, picker, paced
         )
-        self.turns = ReadingTurns(ReaderElection(table), clock, random)
+        self.turns = ReadingTurns(
+            ReaderElection(table), AloneTurns(table, clock, random)
+        )
         self.reader = PlatformReader(
             client, self.keeper, Backoff(random), clock
         )
@@ -127,9 +132,11 @@
                 clock, SNAPSHOT_BYTES_PER_SECOND, SNAPSHOT_BYTES_BURST
             ),
         )
+        self.subscriptions = SubscriptionTable(self.keeper, paced, clock)
         self.waking: Task[None] | None = None
         store.subscribe(self.history)
         store.subscribe(self.rumours)
+        store.subscribe(self.subscriptions)
 
     @property
     def is_serving(self) -> bool:
@@ -140,6 +147,7 @@
         """Take the messages of peers from a link."""
         link.register(MessageKind.VERSION_RUMOUR, self.rumours)
         link.register(MessageKind.VERSION_DIGEST, self.digests)
+        link.register(MessageKind.SUBSCRIPTION, self.subscriptions)
 
     def notice_version(self, version: int) -> None:
         """Fetch a version that a packet was seen to carry, if it is later."""
--- a/chicorycart/configuration/follow.py
+++ b/chicorycart/configuration/follow.py
@@ -2,6 +2,7 @@
 
 from asyncio import sleep
 from enum import Enum
+from functools import partial
 from random import Random
 
 from logbook import Logger
@@ -11,6 +12,7 @@
 from chicorycart.configuration.errors import PlatformError
 from chicorycart.configuration.errors import RefusedVersionError
 from chicorycart.configuration.keeper import VersionKeeper
+from chicorycart.configuration.peers import PeerTable
 from chicorycart.configuration.platform import PlatformClient
 from chicorycart.configuration.readers import ReaderElection
 from chicorycart.defaults import PEER_SILENCE_SECONDS
@@ -82,6 +84,10 @@
         """Read without waiting for a change."""
         return await self.run(self.client.read_configuration)
 
+    async def read_service(self, name: str) -> ReadOutcome:
+        """Read one service only, without waiting for a change."""
+        return await self.run(partial(self.client.read_service, name))
+
     async def run(self, read) -> ReadOutcome:
         """Take what a read gives; log and count why it gives nothing."""
         try:
@@ -98,47 +104,65 @@
         return ReadOutcome.TAKEN
 
 
-class ReadingTurns:
-    """Tells when the own process may call the platform.
-
-    Readers may always do so, at their own rate. Any other process may read
-    now and then while it hears of no peer.
+class AloneTurns:
+    """Lets a process that hears of no peer read now and then.
 
     Parameters
     ----------
-    election : ReaderElection
-        Tells who reads, and who was heard.
+    table : PeerTable
+        Tells who was heard.
     clock : Clock
         Measures the silence.
     random : Random
         Spreads the reads of processes that hear nobody.
     """
 
-    __slots__ = ("election", "clock", "random", "alone_at")
+    __slots__ = ("table", "clock", "random", "due_at")
 
-    def __init__(self, election: ReaderElection, clock: Clock, random: Random):
-        self.election = election
+    def __init__(self, table: PeerTable, clock: Clock, random: Random):
+        self.table = table
         self.clock = clock
         self.random = random
-        self.alone_at: float | None = None
+        self.due_at: float | None = None
 
-    def take_alone_turn(self) -> bool:
-        """Tell whether a process without peers may read once now."""
+    def take_turn(self) -> bool:
+        """Tell whether the process may read once now."""
         now = self.clock.now()
-        if self.election.table.has_heard_any(PEER_SILENCE_SECONDS):
-            self.alone_at = None
+        if self.table.has_heard_any(PEER_SILENCE_SECONDS):
+            self.due_at = None
             return False
-        if self.alone_at is None:
+        if self.due_at is None:
             wait = self.random.uniform(0, PLATFORM_ALONE_SECONDS)
-            self.alone_at = now + PEER_SILENCE_SECONDS + wait
-        if now < self.alone_at:
+            self.due_at = now + PEER_SILENCE_SECONDS + wait
+        if now < self.due_at:
             return False
-        self.alone_at = now + PLATFORM_ALONE_SECONDS
+        self.due_at = now + PLATFORM_ALONE_SECONDS
         return True
 
+
+class ReadingTurns:
+    """Tells when a balancer may call the platform.
+
+    Readers may always do so, at their own rate; any other balancer takes
+    a turn while it hears of no peer.
+
+    Parameters
+    ----------
+    election : ReaderElection
+        Tells who reads.
+    alone : AloneTurns
+        Gives turns to a balancer that hears nobody.
+    """
+
+    __slots__ = ("election", "alone")
+
+    def __init__(self, election: ReaderElection, alone: AloneTurns):
+        self.election = election
+        self.alone = alone
+
     def take_turn(self) -> bool:
         """Tell whether the own process may read once now."""
-        return self.election.is_reader() or self.take_alone_turn()
+        return self.election.is_reader() or self.alone.take_turn()
 
 
 async def follow_platform(
@@ -148,7 +172,7 @@
     while True:
         if turns.election.is_reader():
             await reader.watch_once()
-        elif turns.take_alone_turn():
+        elif turns.alone.take_turn():
             await reader.read_once()
         else:
             await sleep(random.uniform(0.5, 1.5) * READER_CHECK_SECONDS)
--- a/chicorycart/configuration/platform.py
+++ b/chicorycart/configuration/platform.py
@@ -5,7 +5,8 @@
 ``services/NAME`` is one service; ``bundles/NN``, which may be left out, is
 the text of every service of a shard. So a change of one service costs a
 reader three small values however many services there are, and a first read
-takes two values a shard.
+takes two values a shard. The shard of a service is the 64-bit xxHash of its
+name modulo 64, in two digits.
 """
 
 from json import loads
@@ -18,11 +19,13 @@
 from chicorycart.configuration.errors import RefusedVersionError
 from chicorycart.configuration.errors import SkewedReadError
 from chicorycart.configuration.model import Configuration
+from chicorycart.configuration.model import hash_name
 from chicorycart.configuration.model import Service
 from chicorycart.configuration.parse import parse_service
 from chicorycart.configuration.parse import refuse_shared_entries
 from chicorycart.configuration.values import ValueSource
 from chicorycart.defaults import BUNDLE_MIN_SERVICES
+from chicorycart.defaults import PLATFORM_SHARDS
 from chicorycart.defaults import SKEWED_READ_TRIES
 
 
@@ -52,6 +55,13 @@
         self.digest = digest
         self.services = services
 
+    def pick(self, name: str | None) -> "Shard":
+        """Return the shard with one service only, or whole if None."""
+        if name is None:
+            return self
+        listed = {n: d for n, d in self.services.items() if n == name}
+        return Shard(self.digest, listed)
+
 
 class PlatformClient:
     """Reads configurations; keeps nothing of a read that failed.
@@ -114,6 +124,30 @@
         after = max(base.version, self.refused)
         return await self.read_version(await self.read("index"), base, after)
 
+    async def read_service(
+        self, name: str, base: Configuration
+    ) -> Configuration | None:
+        """Read one service only, with the version that lists it.
+
+        Returns
+        -------
+        Configuration or None
+            None if the platform has no version above the base.
+        """
+        after = max(base.version, self.refused)
+        for _ in range(SKEWED_READ_TRIES):
+            body = await self.read("index")
+            index = parse_index(body) if body is not None else None
+            if index is None or index.version <= after:
+                return None
+            try:
+                return await self.read_index(
+                    select_shard(index, name), base, name
+                )
+            except SkewedReadError:
+                continue
+        raise SkewedReadError("values do not fit the index")
+
     async def read_version(
         self, body: bytes | None, base: Configuration, after: int
     ) -> Configuration | None:
@@ -131,17 +165,26 @@
         raise SkewedReadError("values do not fit the index")
 
     async def read_index(
-        self, index: Index, base: Configuration
+        self, index: Index, base: Configuration, only: str | None = None
     ) -> Configuration:
-        """Read what the index lists; keep it only if all of it is good."""
+        """Read what the index lists; keep it only if all of it is good.
+
+        Parameters
+        ----------
+        index : Index
+            The version and its shards.
+        base : Configuration
+            Its services are taken over where their digests still stand.
+        only : str, optional
+            Name of the one service to read.
+        """
         shards = {}
         services: dict[str, Service] = {}
         try:
             for key, digest in index.shards.items():
                 shards[key] = await self.read_shard(key, digest)
-                services.update(
-                    await self.read_services(key, shards[key], base)
-                )
+                listed = shards[key].pick(only)
+                services.update(await self.read_services(key, listed, base))
             refuse_shared_entries(services)
         except InvalidConfigurationError as error:
             self.refused = index.version
@@ -233,6 +276,14 @@
     return Index(version, value["shards"])
 
 
+def select_shard(index: Index, name: str) -> Index:
+    """Return the index with no shard but that of one service."""
+    key = f"{hash_name(name) % PLATFORM_SHARDS:02}"
+    return Index(
+        index.version, {k: d for k, d in index.shards.items() if k == key}
+    )
+
+
 def decode(key: str, body: bytes) -> Any:
     """Return the JSON value of a body."""
     try:
--- /dev/null
+++ b/chicorycart/configuration/service_follower.py
@@ -0,0 +1,236 @@
+"""Keeps one service and the version up to date at an agent."""
+
+from asyncio import sleep
+from heapq import nlargest
+from random import Random
+
+from logbook import Logger
+from prometheus_client import CollectorRegistry
+from xxhash import xxh64_intdigest
+
+from chicorycart.address import Address
+from chicorycart.clock import Clock
+from chicorycart.configuration.backoff import Backoff
+from chicorycart.configuration.checksums import digest_body
+from chicorycart.configuration.errors import InvalidConfigurationError
+from chicorycart.configuration.errors import RefusedVersionError
+from chicorycart.configuration.follow import AloneTurns
+from chicorycart.configuration.follow import PlatformReader
+from chicorycart.configuration.keeper import VersionKeeper
+from chicorycart.configuration.messages import decode_update
+from chicorycart.configuration.messages import encode_subscription
+from chicorycart.configuration.messages import ServiceUpdate
+from chicorycart.configuration.messages import Subscription
+from chicorycart.configuration.metrics import ConfigurationMetrics
+from chicorycart.configuration.model import Configuration
+from chicorycart.configuration.model import hash_name
+from chicorycart.configuration.model import Service
+from chicorycart.configuration.pace import TokenBucket
+from chicorycart.configuration.parse import parse_service
+from chicorycart.configuration.peers import Peer
+from chicorycart.configuration.peers import PeerTable
+from chicorycart.configuration.platform import PlatformClient
+from chicorycart.configuration.rumours import PacedSender
+from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.defaults import NOTICES_PER_SECOND
+from chicorycart.defaults import START_PEERS
+from chicorycart.defaults import START_WAIT_SECONDS
+from chicorycart.defaults import SUBSCRIBE_SECONDS
+from chicorycart.defaults import SUBSCRIPTION_SILENCE_SECONDS
+from chicorycart.defaults import SUBSCRIPTIONS_PER_AGENT
+from chicorycart.defaults import VERSION_BYTES_BURST
+from chicorycart.defaults import VERSION_BYTES_PER_SECOND
+from chicorycart.links.datagrams import MessageKind
+from chicorycart.links.datagrams import Sender
+
+LOGGER = Logger("configuration")
+
+
+class ServiceFollower:
+    """Learns the states of one service from a few balancers.
+
+    It subscribes to balancers of its own domain, chosen by rendezvous
+    hash, and takes others when they fall silent. It serves once every
+    balancer that it asked has answered or the longest wait is over, with
+    the highest version that it was told.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    store : ConfigurationStore
+        Holds the version in force, with this service only.
+    client : PlatformClient
+        Reads the platform when no balancer is heard.
+    sender : Sender
+        Sends datagrams to balancers.
+    table : PeerTable
+        The balancers; to be told of each instance list.
+    random : Random
+        Spreads the renewals.
+    clock : Clock
+        Measures every wait.
+    registry : CollectorRegistry
+        Where metrics are registered.
+
+    Attributes
+    ----------
+    is_serving : bool
+        Whether the process may serve with the version in force.
+    """
+
+    __slots__ = (
+        "service",
+        "keeper",
+        "reader",
+        "sender",
+        "table",
+        "random",
+        "clock",
+        "alone",
+        "notices",
+        "is_serving",
+        "deadline",
+        "waits_for",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        store: ConfigurationStore,
+        client: PlatformClient,
+        sender: Sender,
+        table: PeerTable,
+        random: Random,
+        clock: Clock,
+        registry: CollectorRegistry,
+    ):
+        metrics = ConfigurationMetrics(registry)
+        self.service = service
+        self.keeper = VersionKeeper(store, metrics)
+        self.reader = PlatformReader(
+            client, self.keeper, Backoff(random), clock
+        )
+        self.sender = PacedSender(
+            sender,
+            TokenBucket(clock, VERSION_BYTES_PER_SECOND, VERSION_BYTES_BURST),
+            metrics.events,
+        )
+        self.table = table
+        self.random = random
+        self.clock = clock
+        self.alone = AloneTurns(table, clock, random)
+        self.notices = TokenBucket(clock, NOTICES_PER_SECOND, 1)
+        self.is_serving = False
+        self.deadline: float | None = None
+        self.waits_for: set[Address] | None = None
+
+    def notice_version(self, version: int) -> None:
+        """Ask for a version that a packet was seen to carry."""
+        if self.keeper.is_news(version) and self.notices.try_take(1):
+            self.subscribe(self.choose_balancers(SUBSCRIPTIONS_PER_AGENT))
+
+    def resume(self, late_seconds: float) -> None:
+        """Ask around anew before serving, since the process was paused."""
+        self.is_serving = False
+        self.deadline = None
+        self.waits_for = None
+
+    async def run(self) -> None:
+        """Renew the subscriptions for as long as the process runs."""
+        backoff = Backoff(self.random)
+        while True:
+            if self.alone.take_turn():
+                await self.reader.read_service(self.service)
+            if self.is_serving:
+                self.subscribe(self.choose_balancers(SUBSCRIPTIONS_PER_AGENT))
+                await sleep(self.random.uniform(0.5, 1.0) * SUBSCRIBE_SECONDS)
+                backoff.reset()
+            else:
+                self.ask_around()
+                await backoff.wait(SUBSCRIBE_SECONDS)
+                self.check_started()
+
+    def ask_around(self) -> None:
+        """Ask the balancers whose answer is needed before serving."""
+        if self.deadline is None:
+            self.deadline = self.clock.now() + START_WAIT_SECONDS
+        chosen = self.choose_balancers(START_PEERS)
+        if self.waits_for is None and chosen:
+            self.waits_for = {peer.data for peer in chosen}
+        self.subscribe(chosen)
+
+    def check_started(self) -> None:
+        """Serve once enough is known."""
+        is_late = self.clock.now() >= self.deadline
+        has_asked = self.waits_for is not None
+        if self.keeper.version and (
+            is_late or (has_asked and not self.waits_for)
+        ):
+            self.is_serving = True
+            LOGGER.info("event=started version={}", self.keeper.version)
+
+    def choose_balancers(self, count: int) -> list[Peer]:
+        """Return balancers to learn from, those of the own domain first."""
+        peers = [
+            peer
+            for peer in self.table.peers.values()
+            if not self.table.is_silent(
+                peer.data, SUBSCRIPTION_SILENCE_SECONDS
+            )
+        ]
+        # When all are silent the list is as good as any other.
+        return nlargest(
+            count, peers or self.table.peers.values(), key=self.rank
+        )
+
+    def rank(self, peer: Peer) -> tuple[bool, int]:
+        """Return the rank value of a balancer for this agent."""
+        seed = hash_name(self.table.own)
+        score = xxh64_intdigest(peer.name.encode(), seed=seed)
+        return (peer.domain == self.table.domain, score)
+
+    def subscribe(self, balancers: list[Peer]) -> None:
+        """Send a subscription to each of the balancers."""
+        current = self.keeper.store.current
+        known = current.services.get(self.service)
+        digest = known.digest if known is not None else ""
+        body = encode_subscription(
+            Subscription(self.service, current.version, digest)
+        )
+        for balancer in balancers:
+            self.sender.send(MessageKind.SUBSCRIPTION, body, balancer.data)
+
+    def receive(self, body: bytes, source: Address) -> None:
+        """Take an update from a balancer."""
+        update = decode_update(body)
+        self.table.note_heard(source)
+        if self.keeper.is_news(update.version) and not self.take(update):
+            # The state itself was lost on the way.
+            self.notice_version(update.version)
+            return
+        if self.waits_for:
+            self.waits_for.discard(source)
+
+    def take(self, update: ServiceUpdate) -> bool:
+        """Put an update in force; False if its state did not come along."""
+        services = {}
+        if update.digest:
+            known = self.keeper.store.current.services.get(self.service)
+            if known is None or known.digest != update.digest:
+                if digest_body(update.body) != update.digest:
+                    return False
+                known = self.parse(update)
+            if known is None:
+                return True
+            services[self.service] = known
+        self.keeper.take(Configuration(update.version, services))
+        return True
+
+    def parse(self, update: ServiceUpdate) -> Service | None:
+        """Build the service; refuse the version if it is at fault."""
+        try:
+            return parse_service(self.service, update.body)
+        except InvalidConfigurationError as error:
+            self.keeper.refuse(RefusedVersionError(update.version, error))
+            return None
--- a/chicorycart/configuration/subscriptions.py
+++ b/chicorycart/configuration/subscriptions.py
@@ -1,18 +1,14 @@
 """Tells agents of changes to their own service."""
 
-from asyncio import sleep
-
 from chicorycart.address import Address
 from chicorycart.clock import Clock
 from chicorycart.configuration.keeper import VersionKeeper
 from chicorycart.configuration.messages import decode_subscription
 from chicorycart.configuration.messages import encode_update
 from chicorycart.configuration.messages import ServiceUpdate
-from chicorycart.configuration.messages import Subscription
 from chicorycart.configuration.model import Configuration
 from chicorycart.configuration.rumours import PacedSender
 from chicorycart.defaults import MAX_SUBSCRIPTIONS
-from chicorycart.defaults import MAX_UPDATE_BYTES
 from chicorycart.defaults import SUBSCRIPTION_LEASE_SECONDS
 from chicorycart.links.datagrams import MessageKind
 
@@ -77,7 +73,7 @@
             subscription.digest,
             self.clock.now() + SUBSCRIPTION_LEASE_SECONDS,
         )
-        if subscription.version <= self.keeper.version:
+        if self.keeper.version > 0:
             self.send_update(source, self.subscribers[source])
 
     def change_configuration(self, configuration: Configuration) -> None:
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -243,3 +243,24 @@
 
 STOP_IDLE_SECONDS = 3.0
 """Quiet time after which a stopping gateway closes idle connections."""
+
+PLATFORM_SHARDS = 64
+"""Shards that the platform lists the services in."""
+
+SUBSCRIPTIONS_PER_AGENT = 2
+"""Balancers that an agent learns versions from."""
+
+SUBSCRIBE_SECONDS = 4.0
+"""Time between two renewals of an agent's subscription."""
+
+SUBSCRIPTION_LEASE_SECONDS = 15.0
+"""Time for which a balancer tells an agent that does not renew."""
+
+SUBSCRIPTION_SILENCE_SECONDS = 13.0
+"""Silence after which an agent takes another balancer."""
+
+MAX_SUBSCRIPTIONS = 4_096
+"""Agents that one balancer tells of changes."""
+
+NOTICES_PER_SECOND = 2.0
+"""Renewals of an agent that follow versions seen in packets."""
--- a/tests/configuration/fleet.py
+++ b/tests/configuration/fleet.py
@@ -18,17 +18,19 @@
 from chicorycart.configuration.peers import DomainPicker
 from chicorycart.configuration.peers import PeerTable
 from chicorycart.configuration.platform import PlatformClient
+from chicorycart.configuration.service_follower import ServiceFollower
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.defaults import READER_CALLS_BURST
 from chicorycart.defaults import READER_CALLS_PER_SECOND
+from chicorycart.links.datagrams import MessageKind
 from tests.standins.platform import PlatformValues
 
 DELAY_SECONDS = (0.001, 0.003)
 UDP_IP_BYTES = 28
 
 
-class ListedBalancer:
-    """One balancer on the instance list."""
+class ListedInstance:
+    """One entry of the instance list."""
 
     def __init__(self, number, domain):
         high, low = divmod(number, 250)
@@ -186,6 +188,39 @@
         return self.store.current.version
 
 
+class AgentMember(Member):
+    """One agent, which follows a single service."""
+
+    def __init__(self, fleet, entry, service):
+        super().__init__(fleet, entry)
+        self.service = service
+
+    def start(self):
+        """Begin a life that knows nothing but the list."""
+        fleet = self.fleet
+        clock = LoopClock()
+        self.store = ConfigurationStore(clock)
+        self.values = PlatformValues(fleet.platform, self.reaches_platform)
+        self.table = PeerTable(self.entry.name, self.entry.domain, clock)
+        self.table.change_instances(fleet.listed)
+        self.registry = CollectorRegistry()
+        pace = TokenBucket(clock, READER_CALLS_PER_SECOND, READER_CALLS_BURST)
+        self.exchange = ServiceFollower(
+            self.service,
+            self.store,
+            PlatformClient(self.values, pace),
+            self,
+            self.table,
+            Random(fleet.random.random()),
+            clock,
+            self.registry,
+        )
+        self.receivers = {MessageKind.SERVICE_UPDATE: self.exchange}
+        self.lives.append([])
+        self.store.subscribe(self)
+        self.task = create_task(self.exchange.run())
+
+
 class Fleet:
     """Members in failure domains, on one list, around one platform."""
 
@@ -203,7 +238,7 @@
         self.loss = loss
         self.make_picker = make_picker
         self.listed = [
-            ListedBalancer(number, f"domain-{number % domains}")
+            ListedInstance(number, f"domain-{number % domains}")
             for number in range(count)
         ]
         self.members = [Member(self, entry) for entry in self.listed]
@@ -212,6 +247,21 @@
         self.deaf = set()
         self.dropped = set()
 
+    def add_agents(self, count, domains):
+        """Start agents, each beside a target of another service."""
+        agents = []
+        for number in range(count):
+            entry = ListedInstance(
+                10_000 + number, f"domain-{number % domains}"
+            )
+            entry.role = "agent"
+            agent = AgentMember(self, entry, f"s-{number}")
+            self.by_data[entry.data] = agent
+            self.members.append(agent)
+            agent.start()
+            agents.append(agent)
+        return agents
+
     def start(self):
         """Start every member."""
         for member in self.members:
