--- a/chicorycart/configuration/service_follower.py
+++ b/chicorycart/configuration/service_follower.py
@@ -36,6 +36,7 @@
 from chicorycart.defaults import START_PEERS
 from chicorycart.defaults import START_WAIT_SECONDS
 from chicorycart.defaults import SUBSCRIBE_SECONDS
+from chicorycart.defaults import SUBSCRIPTION_RETRY_SECONDS
 from chicorycart.defaults import SUBSCRIPTION_SILENCE_SECONDS
 from chicorycart.defaults import SUBSCRIPTIONS_PER_AGENT
 from chicorycart.defaults import VERSION_BYTES_BURST
@@ -92,6 +93,7 @@
         "is_serving",
         "deadline",
         "waits_for",
+        "unanswered",
     )
 
     def __init__(
@@ -124,6 +126,7 @@
         self.is_serving = False
         self.deadline: float | None = None
         self.waits_for: set[Address] | None = None
+        self.unanswered: dict[Address, float] = {}
 
     def notice_version(self, version: int) -> None:
         """Ask for a version that a packet was seen to carry."""
@@ -172,18 +175,30 @@
 
     def choose_balancers(self, count: int) -> list[Peer]:
         """Return balancers to learn from, those of the own domain first."""
+        self.forget_silences()
         peers = [
             peer
             for peer in self.table.peers.values()
-            if not self.table.is_silent(
-                peer.data, SUBSCRIPTION_SILENCE_SECONDS
-            )
+            if not self.is_silent(peer.data)
         ]
         # When all are silent the list is as good as any other.
         return nlargest(
             count, peers or self.table.peers.values(), key=self.rank
         )
 
+    def is_silent(self, address: Address) -> bool:
+        """Tell whether a balancer has left subscriptions unanswered."""
+        now = self.clock.now()
+        since = self.unanswered.get(address, now)
+        return now - since > SUBSCRIPTION_SILENCE_SECONDS
+
+    def forget_silences(self) -> None:
+        """Give balancers that were silent for long another chance."""
+        oldest = self.clock.now() - SUBSCRIPTION_RETRY_SECONDS
+        for address, since in list(self.unanswered.items()):
+            if since < oldest:
+                del self.unanswered[address]
+
     def rank(self, peer: Peer) -> tuple[bool, int]:
         """Return the rank value of a balancer for this agent."""
         seed = hash_name(self.table.own)
@@ -198,13 +213,16 @@
         body = encode_subscription(
             Subscription(self.service, current.version, digest)
         )
+        now = self.clock.now()
         for balancer in balancers:
+            self.unanswered.setdefault(balancer.data, now)
             self.sender.send(MessageKind.SUBSCRIPTION, body, balancer.data)
 
     def receive(self, body: bytes, source: Address) -> None:
         """Take an update from a balancer."""
         update = decode_update(body)
         self.table.note_heard(source)
+        self.unanswered.pop(source, None)
         if self.keeper.is_news(update.version) and not self.take(update):
             # The state itself was lost on the way.
             self.notice_version(update.version)
--- a/chicorycart/configuration/start.py
+++ b/chicorycart/configuration/start.py
@@ -36,11 +36,11 @@
 class StartGate:
     """Holds a process back until it knows the highest version around.
 
-    In each round it asks readers of its domain and other peers, and the
-    platform if it is its own turn to read. It serves after
-    a round in which it has in force, at least, the highest version that
-    was answered, and in which all who were asked answered or the longest
-    wait was over. With no version at all it does not serve.
+    In each round it asks readers of its domain, those who answered before
+    and some who were not asked yet; and the platform if it is its own turn
+    to read. It serves after a round in which it has in force, at least, the
+    highest version that was answered, and in which enough peers answered
+    or the longest wait was over. With no version at all it does not serve.
 
     Parameters
     ----------
@@ -75,6 +75,8 @@
         "clock",
         "is_open",
         "resumed",
+        "answered",
+        "silent",
     )
 
     def __init__(
@@ -96,6 +98,8 @@
         self.clock = clock
         self.is_open = False
         self.resumed = 0
+        self.answered: dict[str, Peer] = {}
+        self.silent: set[str] = set()
 
     def close(self) -> None:
         """Make what was answered so far count no longer."""
@@ -105,6 +109,8 @@
     async def run(self) -> None:
         """Ask in rounds until the process may serve."""
         deadline = self.clock.now() + START_WAIT_SECONDS
+        self.answered.clear()
+        self.silent.clear()
         backoff = Backoff(self.random)
         while not self.is_open:
             resumed = self.resumed
@@ -117,10 +123,7 @@
 
     async def ask_round(self, deadline: float) -> bool:
         """Ask everybody once; return whether the process may serve."""
-        asked = self.choose_peers()
-        answers = await gather(*(self.ask(peer) for peer in asked))
-        heard = [answer for answer in answers if answer is not None]
-        heard.sort(key=lambda answer: answer.version, reverse=True)
+        heard = await self.ask_peers()
         outcome = ReadOutcome.NOTHING_LATER
         if self.turns.take_turn():
             outcome = await self.reader.read_once()
@@ -130,17 +133,38 @@
         highest = heard[0].version if heard else 0
         if not self.keeper.version or self.keeper.is_news(highest):
             return False
-        has_read = outcome is not ReadOutcome.FAILED
-        is_complete = has_read and len(heard) == len(asked)
-        return is_complete or self.clock.now() >= deadline
+        is_enough = len(heard) >= min(START_PEERS, self.count_peers())
+        if is_enough and outcome is not ReadOutcome.FAILED:
+            return True
+        return self.clock.now() >= deadline
+
+    async def ask_peers(self) -> list[Answer]:
+        """Ask this round's peers; return the answers, highest first."""
+        asked = self.choose_peers()
+        results = await gather(*(self.ask(peer) for peer in asked))
+        heard = [answer for answer in results if answer is not None]
+        self.answered = {answer.peer.name: answer.peer for answer in heard}
+        self.silent.update(
+            peer.name for peer in asked if peer.name not in self.answered
+        )
+        return sorted(heard, key=lambda a: a.version, reverse=True)
 
     def choose_peers(self) -> list[Peer]:
-        """Return readers of the own domain and other peers."""
-        chosen = {p.name: p for p in self.picker.pick(START_PEERS)}
+        """Return whom to ask: readers, who answered before, and others."""
+        picked = self.picker.pick(START_PEERS + len(self.silent))
+        fresh = [peer for peer in picked if peer.name not in self.silent]
+        if not fresh:
+            self.silent.clear()
+        chosen = dict(self.answered)
+        chosen.update((p.name, p) for p in fresh[:START_PEERS])
         first = self.turns.election.list_ranked()[:READERS_PER_DOMAIN]
         chosen.update((peer.name, peer) for peer in first)
         return list(chosen.values())
 
+    def count_peers(self) -> int:
+        """Return how many peers are known."""
+        return len(self.turns.election.table.peers)
+
     async def ask(self, peer: Peer) -> Answer | None:
         """Return a peer's answer, None if it is silent."""
         try:
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -264,3 +264,6 @@
 
 NOTICES_PER_SECOND = 2.0
 """Renewals of an agent that follow versions seen in packets."""
+
+SUBSCRIPTION_RETRY_SECONDS = 120.0
+"""Time after which an agent tries a silent balancer again."""
--- a/tests/configuration/agents.feature
+++ b/tests/configuration/agents.feature
@@ -14,16 +14,22 @@
 
   Scenario: Both balancers of an agent die
     When both balancers that the first agent hears die
-    Then it has a change in force within 22 seconds
+    And 30 seconds pass
+    Then it has a change in force within 9 seconds
 
   Scenario: An agent that hears no balancer reads the platform rarely
     When the agents are cut off from every balancer for 1200 seconds
     Then each agent has version 2 in force after at most 30 calls
 
-  Scenario: A state that was lost on the way is asked for
-    When an agent is told of version 2 without the state of its service
+  Scenario Outline: A state that was lost or changed is asked for
+    When an agent is told of version 2 <how>
     Then it keeps version 1 until it gets the state
 
+    Examples:
+      | how                               |
+      | without the state of its service  |
+      | with a state of another digest    |
+
   Scenario: A state with a fault is refused
     When an agent gets a faulty state of its service as version 2
     Then it keeps version 1 and shows version 2 as refused
--- a/tests/configuration/agents_steps.py
+++ b/tests/configuration/agents_steps.py
@@ -16,6 +16,7 @@
 from tests.configuration.exchange_steps import change_and_wait
 from tests.configuration.exchange_steps import IN_FORCE_SECONDS
 from tests.configuration.exchange_steps import inside
+from tests.configuration.exchange_steps import watch_served
 from tests.standins.platform import encode
 
 
@@ -57,6 +58,11 @@
         context.fleet.by_data[peer.data].stop()
 
 
+@when("{seconds:d} seconds pass")
+def pass_time(context, seconds):
+    context.run(sleep(seconds))
+
+
 @then("it has a change in force within {seconds:d} seconds")
 def agent_has_change(context, seconds):
     change_and_wait(context, seconds, [context.agent])
@@ -77,11 +83,14 @@
         assert agent.values.calls <= calls, agent.values.calls
 
 
-@when("an agent is told of version 2 without the state of its service")
-def told_without_state(context):
+@when("an agent is told of version 2 {how} digest")
+@when("an agent is told of version 2 {how} service")
+def told_without_state(context, how):
     context.value = publish(0, weight=5.0)
     context.body = encode(context.value)
     update = ServiceUpdate(2, digest_body(context.body))
+    if how.startswith("with "):
+        update.body = encode(publish(0, weight=6.0))
     hand_over(context, update)
 
 
@@ -129,11 +138,6 @@
 def serves_second(context):
     async def wake_and_watch():
         context.agent.wake(60.0)
-        seen = set()
-        for _ in range(900):
-            if context.agent.exchange.is_serving:
-                seen.add(context.agent.version)
-            await sleep(0.01)
-        return seen
-
-    assert context.run(wake_and_watch()) == {2}
+        return await watch_served(context.agent, IN_FORCE_SECONDS)
+
+    assert list(context.run(wake_and_watch())) == [2]
--- a/tests/configuration/exchange.feature
+++ b/tests/configuration/exchange.feature
@@ -38,12 +38,16 @@
 
   Scenario: A restarted process takes the highest of its peers
     When the platform is stale at version 1 and only one peer has version 2
-    And a balancer that reaches just that peer restarts
-    Then it serves version 2, never version 1
+    And no digest arrives
+    And no push arrives
+    And that peer hands out nothing for 20 seconds
+    And a reader that reaches just that peer restarts
+    Then it serves version 2 after those 20 seconds, never version 1
 
-  Scenario: A balancer that the list leaves out stays while it is heard
-    When a list comes that leaves out every other balancer
-    Then a change is in force everywhere within 9 seconds
+  Scenario: A wrong list cuts nobody off
+    When an empty list comes to every balancer
+    Then each of 5 changes is in force everywhere within 9 seconds
+    And only 2 balancers of each domain called the platform
 
   Scenario: A seen version is fetched at once
     When version 2 is in force everywhere but on one that gets no datagrams
@@ -54,3 +58,11 @@
   Scenario: A delta that does not fit is dropped and the whole read again
     When a balancer gets a delta for version 2 with a wrong value in it
     Then it drops that and soon has version 2 as the platform has it
+
+  Scenario: A version that differs under its number is replaced whole
+    When a balancer's version 1 has a wrong value in it
+    Then it soon has version 2 as the platform has it
+
+  Scenario: A flood of outdated digests does not break the budget
+    When a balancer gets 500 outdated digests a second for 60 seconds
+    Then it sends at most 1500 bytes a second and 60000 at once
--- a/tests/configuration/exchange_steps.py
+++ b/tests/configuration/exchange_steps.py
@@ -7,15 +7,20 @@
 from behave import when
 
 from chicorycart.configuration.messages import Delta
+from chicorycart.configuration.messages import Digest
 from chicorycart.configuration.messages import encode_delta
+from chicorycart.configuration.messages import encode_digest
 from chicorycart.configuration.messages import encode_rumour
 from chicorycart.configuration.messages import Rumour
+from chicorycart.configuration.model import Configuration
+from chicorycart.configuration.parse import parse_service
 from chicorycart.defaults import FETCH_TRIES
 from chicorycart.links.datagrams import MessageKind
 from tests.configuration.builders import bodies_of
 from tests.configuration.builders import bodies_on
 from tests.configuration.builders import publish
 from tests.configuration.fleet import Fleet
+from tests.standins.platform import encode
 
 IN_FORCE_SECONDS = 9
 KINDS = {
@@ -244,21 +249,15 @@
 @when("it wakes up and is told how late it is")
 def wake(context):
     async def wake_and_watch():
-        paused = context.paused
-        paused.wake(60.0)
-        context.seen = []
-        for _ in range(900):
-            if paused.exchange.is_serving:
-                context.seen.append(paused.version)
-            await sleep(0.01)
+        context.paused.wake(60.0)
+        return await watch_served(context.paused, IN_FORCE_SECONDS)
 
-    context.run(wake_and_watch())
+    context.seen = context.run(wake_and_watch())
 
 
 @then("it serves nothing until it has version 6")
 def served_latest(context):
-    assert context.seen
-    assert set(context.seen) == {6}, set(context.seen)
+    assert list(context.seen) == [6], context.seen
 
 
 @then("no other balancer went back")
@@ -278,29 +277,47 @@
         member.side = 1
 
 
-@when("a balancer that reaches just that peer restarts")
+@when("that peer hands out nothing for {seconds:d} seconds")
+def hand_out_nothing(context, seconds):
+    server = context.fleet.members[0].exchange.server
+    inside(context, server.bucket.refill)
+    server.bucket.level = -seconds * server.bucket.rate
+    context.busy_seconds = seconds
+
+
+@when("a reader that reaches just that peer restarts")
 def restart_beside(context):
-    member = context.restarted = context.fleet.members[3]
+    member = context.restarted = next(
+        member
+        for member in context.fleet.members[1:]
+        if inside(context, member.exchange.turns.election.is_reader)
+    )
     member.side = 0
     inside(context, restart, member)
-    context.run(context.fleet.wait_in_force(2, 60, [member]))
+    context.seen = context.run(watch_served(member, 60))
 
 
-@then("it serves version 2, never version 1")
+async def watch_served(member, seconds):
+    """Return which versions a member served, and when first."""
+    seen = {}
+    for tenth in range(10 * seconds):
+        if member.exchange.is_serving:
+            seen.setdefault(member.version, tenth / 10)
+        await sleep(0.1)
+    return seen
+
+
+@then("it serves version 2 after those 20 seconds, never version 1")
 def never_first(context):
-    assert context.restarted.lives[-1][-1] == 2
+    assert context.restarted.lives[-1] == [1, 2]
+    assert list(context.seen) == [2], context.seen
+    assert context.seen[2] >= context.busy_seconds
 
 
-@when("a list comes that leaves out every other balancer")
+@when("an empty list comes to every balancer")
 def wrong_list(context):
     for member in context.fleet.members:
-        table = member.table
-        inside(context, table.change_instances, context.fleet.listed[::2])
-
-
-@then("a change is in force everywhere within 9 seconds")
-def change_in_force(context):
-    change_and_wait(context)
+        inside(context, member.table.change_instances, [])
 
 
 @when("version 2 is in force everywhere but on one that gets no datagrams")
@@ -361,3 +378,46 @@
     assert sample(name, {"source": "mismatch"}) == 1
     current = context.other.store.current
     assert bodies_of(current) == bodies_on(context.platform.services)
+
+
+@when("a balancer's version 1 has a wrong value in it")
+def wrong_first(context):
+    member = context.other = context.fleet.members[2]
+    current = member.store.current
+    body = encode({**context.platform.services["s-9"], "kind": "packet"})
+    services = {**current.services, "s-9": parse_service("s-9", body)}
+    member.store.current = Configuration(1, services)
+    change(context)
+
+
+@then("it soon has version 2 as the platform has it")
+def has_second(context):
+    context.run(context.fleet.wait_in_force(2, 2 * IN_FORCE_SECONDS))
+    current = context.other.store.current
+    assert bodies_of(current) == bodies_on(context.platform.services)
+
+
+@when(
+    "a balancer gets {count:d} outdated digests a second"
+    " for {seconds:d} seconds"
+)
+def flood(context, count, seconds):
+    member = context.other = context.fleet.members[2]
+    source = context.fleet.members[4].entry.data
+    body = encode_digest(Digest(0, 0, True))
+
+    async def send():
+        for _ in range(count * seconds):
+            member.take(MessageKind.VERSION_DIGEST, body, source)
+            await sleep(1 / count)
+
+    before = member.sent_bytes
+    context.run(send())
+    context.sent = member.sent_bytes - before
+    context.seconds = seconds
+
+
+@then("it sends at most {rate:d} bytes a second and {burst:d} at once")
+def within_budget(context, rate, burst):
+    allowed = rate * context.seconds + burst
+    assert 0 < context.sent <= allowed, context.sent
--- a/tests/configuration/fleet.py
+++ b/tests/configuration/fleet.py
@@ -57,7 +57,6 @@
         self.far_bytes = 0
         self.served = []
         self.lives = []
-        self.asleep = []
 
     def start(self):
         """Begin a life that knows nothing but the list."""
@@ -110,13 +109,10 @@
         self.awake.clear()
 
     def wake(self, late_seconds):
-        """Go on after a pause, with what came in meanwhile."""
+        """Go on after a pause; what came in meanwhile is lost."""
         self.is_paused = False
         self.awake.set()
         self.exchange.resume(late_seconds)
-        for message in self.asleep:
-            self.take(*message)
-        self.asleep = []
 
     def register(self, kind, receiver):
         """Hand the messages of one kind to the receiver."""
@@ -150,10 +146,8 @@
         )
 
     def take(self, kind, body, source):
-        """Take one datagram, or keep it while the process is paused."""
-        if self.is_paused:
-            self.asleep.append((kind, body, source))
-        elif self.is_up() and kind in self.receivers:
+        """Take one datagram."""
+        if self.is_up() and not self.is_paused and kind in self.receivers:
             self.receivers[kind].receive(body, source)
 
     async def fetch_delta(self, peer, after):
--- a/tests/configuration/reading.feature
+++ b/tests/configuration/reading.feature
@@ -45,3 +45,8 @@
     Given a platform with 1600 services
     When another reader reads them all
     Then it made at most 129 calls and holds what the platform has
+
+  Scenario: A platform that answers watches too early is not called often
+    Given a platform that answers every watch at once
+    When the reader watches for 600 seconds
+    Then the platform was called at most 200 times in that time
--- a/tests/configuration/reading_steps.py
+++ b/tests/configuration/reading_steps.py
@@ -219,3 +219,12 @@
 def calls_made(context, calls):
     assert context.other.values.calls <= calls, context.other.values.calls
     assert_as_published(context, context.other)
+
+
+@given("a platform that answers every watch at once")
+def answer_at_once(context):
+    async def answer(key, after):
+        await sleep(0.001)
+        return await context.reader.values.read(key)
+
+    context.reader.values.watch = answer
