--- a/chicorycart/commands/reading.py
+++ b/chicorycart/commands/reading.py
@@ -11,11 +11,17 @@
 from tornado.httpclient import HTTPClientError
 
 from chicorycart.address import Address
+from chicorycart.clock import LoopClock
 from chicorycart.commands.errors import BadInputError
 from chicorycart.commands.errors import UnreachableError
 from chicorycart.configuration.errors import ConfigurationError
 from chicorycart.configuration.model import Configuration
+from chicorycart.configuration.model import EMPTY_CONFIGURATION
+from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.platform import PlatformClient
+from chicorycart.configuration.values import HttpValues
+from chicorycart.defaults import READER_CALLS_BURST
+from chicorycart.defaults import READER_CALLS_PER_SECOND
 from chicorycart.defaults import TOOL_TIMEOUT_SECONDS
 
 
@@ -45,11 +51,19 @@
         self.error = error
 
 
+def open_platform(platform: str) -> PlatformClient:
+    """Return a client that reads from one base address."""
+    pace = TokenBucket(
+        LoopClock(), READER_CALLS_PER_SECOND, READER_CALLS_BURST
+    )
+    return PlatformClient(HttpValues([platform.rstrip("/")]), pace)
+
+
 async def read_configuration(platform: str) -> Configuration:
     """Read the configuration that the platform publishes now."""
-    client = PlatformClient([platform.rstrip("/")])
+    client = open_platform(platform)
     try:
-        configuration = await client.watch_configuration(0)
+        configuration = await client.read_configuration(EMPTY_CONFIGURATION)
     except ConfigurationError as error:
         raise UnreachableError(str(error)) from error
     if configuration is None:
@@ -59,7 +73,7 @@
 
 async def read_control_addresses(platform: str) -> dict[str, Address]:
     """Return the control address of each listed instance by its name."""
-    client = PlatformClient([platform.rstrip("/")])
+    client = open_platform(platform)
     try:
         instances = await client.read_instances()
     except ConfigurationError as error:
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -6,6 +6,12 @@
 CURRENT_CANDIDATES = 2
 """Targets of the version in force that may accept an opening flow."""
 
+CHOICE_HYSTERESIS = 0.1
+"""Share by which another candidate must be less loaded to get a flow."""
+
+SENT_FLOW_WEIGHT = 2
+"""Flows that each flow passed on since a heartbeat counts for."""
+
 MAX_CHAIN_LENGTH = 6
 """Targets that one packet may be passed along."""
 
@@ -30,8 +36,17 @@
 FLOW_IDLE_SECONDS = 7_200.0
 """Silence after which an owned flow is forgotten."""
 
-CLOSED_FLOW_SECONDS = 10.0
-"""Time for which a flow is still owned after it was closed."""
+CLOSED_FLOW_SECONDS = 60.0
+"""Silence after which a closing flow is forgotten."""
+
+FLOW_TICK_SECONDS = 10.0
+"""Precision with which flows are forgotten."""
+
+FLOW_SWEEP_FLOWS = 1_024
+"""Flows whose deadline is looked at in one step."""
+
+MAX_OWNED_FLOWS = 131_072
+"""Flows that one agent owns at once."""
 
 MAX_DATAGRAM_BYTES = 65_507
 """Largest UDP payload over IPv4."""
@@ -63,6 +78,67 @@
 LOG_SAMPLE = 1.0
 """Share of routing decisions that are logged."""
 
+MAX_SEARCH_LENGTH = 12
+"""Agents that one packet may be offered to while its owner is sought."""
+
+OWNER_LEASE_SECONDS = 90.0
+"""Time after which an owner record lapses unless it is refreshed."""
+
+OWNER_REFRESH_SECONDS = 30.0
+"""Time between two owner records of one owner."""
+
+OWNER_BYTES_PER_SECOND = 1024
+"""Rate at which one agent sends owner records."""
+
+OWNER_REPEAT_SECONDS = 1.0
+"""Time in which an owner record is sent to one agent at most once."""
+
+MAX_LEASE_SECONDS = 600.0
+"""Longest lease of an owner record that is believed."""
+
+MAX_RECORD_OWNERS = 64
+"""Owners of one service whose records an agent holds."""
+
+MAX_KNOWN_AGENTS = 256
+"""Present and past agents of its service that an agent knows."""
+
+SCAN_SLICE_FLOWS = 256
+"""Owned flows that are looked at before other work gets its turn."""
+
+SETTLING_SECONDS = 12.0
+"""Time in which versions and owner records reach every agent."""
+
+TICK_SECONDS = 0.5
+"""Time between two signs that a process was not paused."""
+
+PAUSE_SECONDS = 2.0
+"""Time without a sign after which a process was paused."""
+
+CLAIM_TIMEOUT_SECONDS = 0.1
+"""Time for which an opening packet waits for claims of other agents."""
+
+MAX_PENDING_OPENINGS = 4_096
+"""Opening packets of one agent that wait for claims."""
+STRENGTH_WINDOW_SECONDS = 10.0
+"""Time between two changes of a target's measured strength."""
+
+MIN_MEASURED_WORKS = 10
+"""Ended works that a measurement of strength needs."""
+
+MAX_MEASURED_WORK_SECONDS = 10.0
+"""Duration above which a work does not count for the strength."""
+
+STRENGTH_MAX_STEP = 1.25
+"""Factor by which one measurement may change the strength."""
+
+STRENGTH_SMOOTHING = 0.25
+"""Share of a new measurement in the strength."""
+
+SLOW_START_SECONDS = 30.0
+"""Time in which a new target's reported strength rises to the whole."""
+
+SLOW_START_INITIAL_SHARE = 0.1
+"""Share of its strength that a new target reports at its start."""
 TOOL_TIMEOUT_SECONDS = 5.0
 """Time the command-line tool gives one daemon to answer."""
 
@@ -267,3 +343,50 @@
 
 SUBSCRIPTION_RETRY_SECONDS = 120.0
 """Time after which an agent tries a silent balancer again."""
+MAX_SEARCH_LENGTH = 12
+"""Agents that one packet may be offered to while its owner is sought."""
+
+OWNER_LEASE_SECONDS = 90.0
+"""Time after which an owner record lapses unless it is refreshed."""
+
+OWNER_REFRESH_SECONDS = 30.0
+"""Time between two owner records of one owner."""
+
+OWNER_BYTES_PER_SECOND = 1024
+"""Rate at which one agent sends owner records."""
+
+OWNER_REPEAT_SECONDS = 1.0
+"""Time in which an owner record is sent to one agent at most once."""
+
+MAX_LEASE_SECONDS = 600.0
+"""Longest lease of an owner record that is believed."""
+
+MAX_RECORD_OWNERS = 64
+"""Owners of one service whose records an agent holds."""
+
+MAX_KNOWN_AGENTS = 256
+"""Present and past agents of its service that an agent knows."""
+
+SCAN_SLICE_FLOWS = 256
+"""Owned flows that are looked at before other work gets its turn."""
+
+SETTLING_SECONDS = 12.0
+"""Time in which versions and owner records reach every agent."""
+
+ADOPTION_SECONDS = 7_200.0
+"""Time after a start in which flows that nobody owns are adopted."""
+
+ADOPTED_FLOW_SECONDS = 60.0
+"""Time for which an adopted flow is owned without a second packet."""
+
+TICK_SECONDS = 0.5
+"""Time between two signs that a process was not paused."""
+
+PAUSE_SECONDS = 2.0
+"""Time without a sign after which a process was paused."""
+
+CLAIM_TIMEOUT_SECONDS = 0.1
+"""Time for which an opening packet waits for claims of other agents."""
+
+MAX_PENDING_OPENINGS = 4_096
+"""Opening packets of one agent that wait for claims."""
--- a/chicorycart/links/datagrams.py
+++ b/chicorycart/links/datagrams.py
@@ -15,10 +15,13 @@
     """The first byte of every datagram between processes."""
 
     FORWARD = 1
+    OWNER_RECORD = 4
+    OWNER_QUERY = 5
     VERSION_RUMOUR = 6
     VERSION_DIGEST = 7
     SUBSCRIPTION = 8
     SERVICE_UPDATE = 9
+    OWNER_ANSWER = 10
 
 
 class Receiver(Protocol):
