--- a/chicorycart/commands/reading.py
+++ b/chicorycart/commands/reading.py
@@ -16,9 +16,9 @@
 from chicorycart.commands.errors import UnreachableError
 from chicorycart.configuration.errors import ConfigurationError
 from chicorycart.configuration.model import Configuration
-from chicorycart.configuration.model import EMPTY_CONFIGURATION
 from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.platform import PlatformClient
+from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.configuration.values import HttpValues
 from chicorycart.defaults import READER_CALLS_BURST
 from chicorycart.defaults import READER_CALLS_PER_SECOND
@@ -63,7 +63,9 @@
     """Read the configuration that the platform publishes now."""
     client = open_platform(platform)
     try:
-        configuration = await client.read_configuration(EMPTY_CONFIGURATION)
+        configuration = await client.read_configuration(
+            ConfigurationStore(LoopClock())
+        )
     except ConfigurationError as error:
         raise UnreachableError(str(error)) from error
     if configuration is None:
--- a/chicorycart/configuration/follow.py
+++ b/chicorycart/configuration/follow.py
@@ -69,13 +69,16 @@
         stale platform, counts as a failure.
         """
         began = self.clock.now()
+        version = self.keeper.version
         outcome = await self.run(self.client.watch_configuration)
         is_early = (
             self.clock.now() - began < EARLY_SHARE * PLATFORM_WATCH_SECONDS
         )
-        if outcome is ReadOutcome.FAILED or (
-            outcome is ReadOutcome.NOTHING_LATER and is_early
-        ):
+        is_useless = (
+            outcome is ReadOutcome.NOTHING_LATER
+            and self.keeper.version == version
+        )
+        if outcome is ReadOutcome.FAILED or (is_useless and is_early):
             await self.backoff.wait()
         else:
             self.backoff.reset()
@@ -91,7 +94,7 @@
     async def run(self, read) -> ReadOutcome:
         """Take what a read gives; log and count why it gives nothing."""
         try:
-            configuration = await read(self.keeper.store.current)
+            configuration = await read(self.keeper.store)
         except RefusedVersionError as error:
             self.keeper.refuse(error)
             return ReadOutcome.REFUSED
--- a/chicorycart/configuration/platform.py
+++ b/chicorycart/configuration/platform.py
@@ -36,6 +36,18 @@
         """Wait until the amount is allowed."""
 
 
+class InForce(Protocol):
+    """Something that tells the version in force.
+
+    Attributes
+    ----------
+    current : Configuration
+        The version in force; it may change while a read is under way.
+    """
+
+    current: Configuration
+
+
 class Index:
     """The published version and the digest of each shard."""
 
@@ -91,13 +103,13 @@
         self.refused_path = ""
 
     async def watch_configuration(
-        self, base: Configuration
+        self, in_force: InForce
     ) -> Configuration | None:
-        """Wait for a version above the base and read it whole.
+        """Wait for a version above the one in force and read it whole.
 
         Parameters
         ----------
-        base : Configuration
+        in_force : InForce
             Its services are taken over where their digests still stand.
 
         Returns
@@ -112,58 +124,61 @@
         RefusedVersionError
             If a published value is at fault.
         """
-        after = max(base.version, self.refused)
+        after = max(in_force.current.version, self.refused)
         await self.pace.take(1)
         body = await self.values.watch("index", after)
-        return await self.read_version(body, base, after)
+        return await self.read_version(body, in_force)
 
     async def read_configuration(
-        self, base: Configuration
+        self, in_force: InForce
     ) -> Configuration | None:
         """Like `watch_configuration`, but answer at once."""
-        after = max(base.version, self.refused)
-        return await self.read_version(await self.read("index"), base, after)
+        return await self.read_version(await self.read("index"), in_force)
 
     async def read_service(
-        self, name: str, base: Configuration
+        self, name: str, in_force: InForce
     ) -> Configuration | None:
         """Read one service only, with the version that lists it.
 
         Returns
         -------
         Configuration or None
-            None if the platform has no version above the base.
+            None if the platform has no version above the one in force.
         """
-        after = max(base.version, self.refused)
         for _ in range(SKEWED_READ_TRIES):
             body = await self.read("index")
             index = parse_index(body) if body is not None else None
-            if index is None or index.version <= after:
+            if index is None or not self.is_later(index, in_force):
                 return None
             try:
                 return await self.read_index(
-                    select_shard(index, name), base, name
+                    select_shard(index, name), in_force.current, name
                 )
             except SkewedReadError:
                 continue
         raise SkewedReadError("values do not fit the index")
 
     async def read_version(
-        self, body: bytes | None, base: Configuration, after: int
+        self, body: bytes | None, in_force: InForce
     ) -> Configuration | None:
         """Read the version of an index; read the index anew on a skew."""
         for _ in range(SKEWED_READ_TRIES):
             if body is None:
                 return None
             index = parse_index(body)
-            if index.version <= after:
+            if not self.is_later(index, in_force):
                 return None
             try:
-                return await self.read_index(index, base)
+                return await self.read_index(index, in_force.current)
             except SkewedReadError:
                 body = await self.read("index")
         raise SkewedReadError("values do not fit the index")
 
+    def is_later(self, index: Index, in_force: InForce) -> bool:
+        """Tell whether an index is worth reading."""
+        known = max(in_force.current.version, self.refused)
+        return index.version > known
+
     async def read_index(
         self, index: Index, base: Configuration, only: str | None = None
     ) -> Configuration:
--- a/tests/configuration/agents.feature
+++ b/tests/configuration/agents.feature
@@ -14,7 +14,7 @@
 
   Scenario: Both balancers of an agent die
     When both balancers that the first agent hears die
-    And 30 seconds pass
+    And the agent waits for 30 seconds
     Then it has a change in force within 9 seconds
 
   Scenario: An agent that hears no balancer reads the platform rarely
--- a/tests/configuration/agents_steps.py
+++ b/tests/configuration/agents_steps.py
@@ -58,7 +58,7 @@
         context.fleet.by_data[peer.data].stop()
 
 
-@when("{seconds:d} seconds pass")
+@when("the agent waits for {seconds:d} seconds")
 def pass_time(context, seconds):
     context.run(sleep(seconds))
 
