--- a/tests/requests/mates.feature
+++ b/tests/requests/mates.feature
@@ -16,6 +16,7 @@
     Given 3 gateways with 1 slots
     And target 1 "hangs before running"
     When a caller falls silent after "GET /first HTTP/1.1~~"
+    And a request hangs at target 1
     And instance 2 forwards a booking to gateway 1
     Then the answers are "503 not-run"
     And the bookings ran 0 times
@@ -45,5 +46,20 @@
     Given 1 gateway with 1 slots
     And target 1 "hangs before running"
     When a caller falls silent after "GET /first HTTP/1.1~~"
+    And a request hangs at target 1
     And a caller books 1 times with 50 ms each at gateway 1
     Then the answers are "503 not-run"
+
+  Scenario: The load that mates hear of is the gateway's own
+    Given 1 gateway with 2 slots
+    When a caller books 100 times with 20000 ms each at gateway 1
+    And target 1 now "hangs before running"
+    And a caller falls silent after "GET /first HTTP/1.1~~"
+    And a request hangs at target 1
+    Then gateway 1 tells 1 in progress, 0 queued and a measured strength
+
+  Scenario: A caller without patience does not make the target look down
+    Given 1 gateway with 2 slots
+    When a caller books 1 times with 0 ms each at gateway 1
+    Then the answers are "503 not-run"
+    And gateway 1 takes opening flows
--- a/tests/standins/gateways.py
+++ b/tests/standins/gateways.py
@@ -39,7 +39,7 @@
         self.value = self.plan.publish()
         self.version = 0
         self.store = ConfigurationStore(LoopClock())
-        self.sources = KnownSources()
+        self.sources = KnownSources(LoopClock())
         self.store.subscribe(self.sources)
         self.targets = [FaultyTarget(h.backend) for h in self.plan.hosts]
         self.servers: list[RequestServer] = []
