--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -18,17 +18,17 @@
 from chicorycart.agent.ownership import FlowOwnership
 from chicorycart.agent.pages import list_pages
 from chicorycart.clock import LoopClock
-from chicorycart.configuration.backoff import Backoff
-from chicorycart.configuration.follow import PlatformReader
-from chicorycart.configuration.metrics import ConfigurationMetrics
 from chicorycart.configuration.pace import TokenBucket
+from chicorycart.configuration.peers import PeerTable
 from chicorycart.configuration.platform import PlatformClient
+from chicorycart.configuration.service_follower import ServiceFollower
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.configuration.values import HttpValues
 from chicorycart.defaults import READER_CALLS_BURST
 from chicorycart.defaults import READER_CALLS_PER_SECOND
 from chicorycart.flows.mates import ServiceMates
 from chicorycart.links.datagrams import DatagramLink
+from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.sockets import DatagramSocket
 from chicorycart.membership.follow import InstanceFollower
 from chicorycart.membership.incarnation import Incarnation
@@ -76,6 +76,7 @@
         )
         for kind, receiver in self.ownership.list_receivers().items():
             self.link.register(kind, receiver)
+        detector = PauseDetector(clock)
         self.membership = AgentMembership(
             settings,
             clock,
@@ -88,24 +89,31 @@
             ),
             self.link,
             Incarnation(time()),
-            PauseDetector(clock),
+            detector,
             Random(),
         )
         self.platform = PlatformClient(
             HttpValues(daemon.platform),
             TokenBucket(clock, READER_CALLS_PER_SECOND, READER_CALLS_BURST),
         )
-        self.reader = PlatformReader(
-            self.platform,
+        peers = PeerTable(daemon.name, daemon.domain, clock)
+        self.versions = ServiceFollower(
+            settings.service,
             self.store,
-            self.store.put_in_force,
-            Backoff(Random()),
-            ConfigurationMetrics(self.registry),
+            self.platform,
+            self.link,
+            peers,
+            Random(),
+            clock,
+            self.registry,
         )
+        self.link.register(MessageKind.SERVICE_UPDATE, self.versions)
+        detector.subscribe(self.versions)
         self.instances = InstanceFollower(
             self.platform, Random(), self.registry
         )
         self.instances.subscribe(self.sources)
+        self.instances.subscribe(peers)
         self.instances.subscribe(self.membership.balancers)
         self.stopping = False
         self.requests: RequestServer | None = None
@@ -123,8 +131,8 @@
             self.requests = RequestServer(gateway)
 
     def is_ready(self) -> bool:
-        """Tell whether a configuration is in force and no stop began."""
-        return self.store.current.version > 0 and not self.stopping
+        """Tell whether the highest version is in force and no stop began."""
+        return self.versions.is_serving and not self.stopping
 
     def describe_status(self) -> dict[str, Any]:
         """Return name, role, version in force and owned flows."""
@@ -158,7 +166,7 @@
         tasks = [
             create_task(self.instances.run()),
             self.membership.start(),
-            create_task(self.reader.watch_forever()),
+            create_task(self.versions.run()),
             create_task(self.ownership.run()),
         ]
         self.data_socket.start(self.link)
--- a/chicorycart/balancer/daemon.py
+++ b/chicorycart/balancer/daemon.py
@@ -13,11 +13,12 @@
 from chicorycart.balancer.forwarding import Forwarder
 from chicorycart.balancer.membership import BalancerMembership
 from chicorycart.clock import LoopClock
-from chicorycart.configuration.backoff import Backoff
-from chicorycart.configuration.follow import PlatformReader
-from chicorycart.configuration.metrics import ConfigurationMetrics
+from chicorycart.configuration.exchange import VersionExchange
 from chicorycart.configuration.pace import TokenBucket
+from chicorycart.configuration.peer_client import PeerClient
+from chicorycart.configuration.peers import PeerTable
 from chicorycart.configuration.platform import PlatformClient
+from chicorycart.configuration.serving import list_routes
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.configuration.values import HttpValues
 from chicorycart.defaults import READER_CALLS_BURST
@@ -53,13 +54,14 @@
         self.data_socket = DatagramSocket(daemon.data)
         self.fabric_socket = DatagramSocket(settings.fabric)
         self.link = DatagramLink(self.data_socket, self.sources, self.registry)
+        detector = PauseDetector(clock)
         self.membership = BalancerMembership(
             daemon,
             clock,
             self.store,
             self.link,
             Incarnation(time()),
-            PauseDetector(clock),
+            detector,
             Random(),
             self.registry,
         )
@@ -76,23 +78,30 @@
             HttpValues(daemon.platform),
             TokenBucket(clock, READER_CALLS_PER_SECOND, READER_CALLS_BURST),
         )
-        self.reader = PlatformReader(
-            self.platform,
+        peers = PeerTable(daemon.name, daemon.domain, clock)
+        self.versions = VersionExchange(
             self.store,
-            self.store.put_in_force,
-            Backoff(Random()),
-            ConfigurationMetrics(self.registry),
+            self.platform,
+            PeerClient(),
+            self.link,
+            peers,
+            Random(),
+            clock,
+            self.registry,
         )
+        self.versions.register(self.link)
+        detector.subscribe(self.versions)
         self.instances = InstanceFollower(
             self.platform, Random(), self.registry
         )
         self.instances.subscribe(self.sources)
+        self.instances.subscribe(peers)
         self.instances.subscribe(self.membership.balancers)
         self.stopping = False
 
     def is_ready(self) -> bool:
-        """Tell whether a configuration is in force and no stop began."""
-        return self.store.current.version > 0 and not self.stopping
+        """Tell whether the highest version is in force and no stop began."""
+        return self.versions.is_serving and not self.stopping
 
     def describe_status(self) -> dict[str, Any]:
         """Return name, role and version in force."""
@@ -110,14 +119,19 @@
     async def run(self, stop: Event) -> None:
         """Serve until the event is set."""
         daemon = self.settings.daemon
-        server = serve_endpoints(daemon.control, self.registry, self)
+        server = serve_endpoints(
+            daemon.control,
+            self.registry,
+            self,
+            list_routes(self.versions.server),
+        )
         tasks = [
             create_task(self.instances.run()),
             self.membership.start(),
-            create_task(self.reader.watch_forever()),
+            create_task(self.versions.run()),
         ]
         self.data_socket.start(self.link)
-        self.fabric_socket.start(self.forwarder)
+        tasks.append(create_task(self.serve_fabric()))
         await stop.wait()
         self.stopping = True
         for task in tasks:
@@ -125,3 +139,8 @@
         self.fabric_socket.close()
         self.data_socket.close()
         server.stop()
+
+    async def serve_fabric(self) -> None:
+        """Take callers' packets once the highest version is in force."""
+        await self.versions.gate.opened.wait()
+        self.fabric_socket.start(self.forwarder)
--- a/chicorycart/configuration/serving.py
+++ b/chicorycart/configuration/serving.py
@@ -1,8 +1,7 @@
 """Hands versions out to peers over HTTP, on the control address."""
 
-from typing import Any
-
 from tornado.web import RequestHandler
+from tornado.web import URLSpec
 
 from chicorycart.configuration.delta import DeltaHistory
 from chicorycart.configuration.errors import BusyError
@@ -113,9 +112,10 @@
         self.finish(f"{self.server.serve_version()}\n")
 
 
-def list_handlers(server: DeltaServer) -> list[tuple[str, Any, dict]]:
-    """Return the routes for peers, in the form that tornado takes."""
+def list_routes(server: DeltaServer) -> list[URLSpec]:
+    """Return the routes for peers."""
+    arguments = {"server": server}
     return [
-        ("/v1/configuration", DeltaHandler, {"server": server}),
-        ("/v1/configuration/version", VersionHandler, {"server": server}),
+        URLSpec("/v1/configuration", DeltaHandler, arguments),
+        URLSpec("/v1/configuration/version", VersionHandler, arguments),
     ]
--- a/chicorycart/configuration/start.py
+++ b/chicorycart/configuration/start.py
@@ -1,5 +1,6 @@
 """Decides from when on a process may serve with the version it has."""
 
+from asyncio import Event
 from asyncio import gather
 from random import Random
 
@@ -63,6 +64,8 @@
     ----------
     is_open : bool
         Whether the process may serve.
+    opened : Event
+        Set once the process could serve for the first time.
     """
 
     __slots__ = (
@@ -74,6 +77,7 @@
         "random",
         "clock",
         "is_open",
+        "opened",
         "resumed",
         "answered",
         "silent",
@@ -97,6 +101,7 @@
         self.random = random
         self.clock = clock
         self.is_open = False
+        self.opened = Event()
         self.resumed = 0
         self.answered: dict[str, Peer] = {}
         self.silent: set[str] = set()
@@ -119,6 +124,7 @@
                 await backoff.wait(left if left > 0 else BACKOFF_MAX_SECONDS)
             elif resumed == self.resumed:
                 self.is_open = True
+        self.opened.set()
         LOGGER.info("event=started version={}", self.keeper.version)
 
     async def ask_round(self, deadline: float) -> bool:
