--- a/chicorycart/configuration/start.py
+++ b/chicorycart/configuration/start.py
@@ -157,9 +157,11 @@
 
     def choose_peers(self) -> list[Peer]:
         """Return whom to ask: readers, who answered before, and others."""
-        picked = self.picker.pick(START_PEERS + len(self.silent))
-        fresh = [peer for peer in picked if peer.name not in self.silent]
+        known = self.silent.union(self.answered)
+        picked = self.picker.pick(START_PEERS + len(known))
+        fresh = [peer for peer in picked if peer.name not in known]
         if not fresh:
+            # Everybody was asked, so that the silent ones are asked again.
             self.silent.clear()
         chosen = dict(self.answered)
         chosen.update((p.name, p) for p in fresh[:START_PEERS])
