--- a/chicorycart/configuration/model.py
+++ b/chicorycart/configuration/model.py
@@ -96,18 +96,16 @@
         Destination address and port of the callers' packets.
     protocol : int
         IP protocol number, 6 for TCP or 17 for UDP.
+    key : tuple of str, int and int
+        Host, port and protocol, for look-ups.
     """
 
-    __slots__ = ("address", "protocol")
+    __slots__ = ("address", "protocol", "key")
 
     def __init__(self, address: Address, protocol: int):
         self.address = address
         self.protocol = protocol
-
-    @property
-    def key(self) -> tuple[str, int, int]:
-        """Host, port and protocol, for look-ups."""
-        return (*self.address, self.protocol)
+        self.key = (*address, protocol)
 
 
 class Service:
--- a/chicorycart/configuration/parse.py
+++ b/chicorycart/configuration/parse.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from json import loads
 from pathlib import Path
+from sys import intern
 from typing import Any
 
 from chicorycart.address import Address
@@ -88,7 +89,7 @@
     return Target(
         value["name"],
         read_address(f"{path}.agent", value["agent"]),
-        value["domain"],
+        intern(value["domain"]),
         float(value.get("weight", DEFAULT_WEIGHT)),
         value.get("slots", DEFAULT_SLOTS),
         TargetState(value.get("state", "active")),
@@ -118,6 +119,10 @@
 
 def refuse_shared_entries(services: Mapping[str, Service]) -> None:
     """Raise if two services stand behind one entry or one identifier."""
+    keys = {service.entry.key for service in services.values()}
+    hashes = {service.identifier for service in services.values()}
+    if len(keys) == len(hashes) == len(services):
+        return
     entries: dict[tuple[str, int, int], str] = {}
     identifiers: dict[int, str] = {}
     for name, service in sorted(services.items()):
--- a/measure/configuration_cost.py
+++ b/measure/configuration_cost.py
@@ -1,9 +1,11 @@
 """Measures what the configuration costs one process.
 
 Prints one JSON object a line: ``python -m measure.configuration_cost``.
-Memory is the resident set of a fresh process of this module.
+Memory is the resident set of a fresh process, which imports the daemon of
+a balancer and then takes a whole version as from a peer.
 """
 
+from gc import collect
 from json import dumps
 from pathlib import Path
 from random import Random
@@ -13,6 +15,7 @@
 
 from prometheus_client import CollectorRegistry
 
+from chicorycart.balancer.daemon import Balancer
 from chicorycart.configuration.delta import DeltaHistory
 from chicorycart.configuration.keeper import VersionKeeper
 from chicorycart.configuration.messages import decode_delta
@@ -21,6 +24,7 @@
 from chicorycart.configuration.messages import encode_delta
 from chicorycart.configuration.messages import encode_digest
 from chicorycart.configuration.metrics import ConfigurationMetrics
+from chicorycart.configuration.model import Configuration
 from chicorycart.configuration.parse import parse_service
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.membership.sources import KnownSources
@@ -76,26 +80,33 @@
     return process_time() - began, result
 
 
-def make_version(holder, bodies):
-    """Return the delta that a peer sends for a first, whole version."""
+def pack_version(count):
+    """Return what a peer sends to a process that starts."""
+    services = {
+        name: parse_service(name, body)
+        for name, body in publish_bodies(count).items()
+    }
     sender = DeltaHistory()
-    services = {name: parse_service(name, b) for name, b in bodies.items()}
-    sender.change_configuration(type(holder.store.current)(1, services))
-    return sender.make_delta(0)
+    sender.change_configuration(Configuration(1, services))
+    return encode_delta(sender.make_delta(0))
 
 
 def measure_size(count):
     """Print memory and times with that many services."""
-    bodies = publish_bodies(count)
-    packed = encode_delta(make_version(Holder(), bodies)) if count else b""
-    bodies.clear()
-    row = {"services": count, "whole_bytes": len(packed)}
+    packed = sys.stdin.buffer.read()
+    row = {
+        "services": count,
+        "whole_bytes": len(packed),
+        "imports_mb": resident_bytes() / 1e6,
+        "daemon": Balancer.__name__,
+    }
     if count:
         holder = Holder()
         before = resident_bytes()
         row["decode_s"], whole = seconds_of(decode_delta, packed)
         row["apply_whole_s"], _ = seconds_of(holder.keeper.take_delta, whole)
         del whole
+        collect()
         row["held_mb"] = (resident_bytes() - before) / 1e6
         row["entries_s"], _ = seconds_of(
             lambda: (
@@ -147,7 +158,7 @@
     service = parse_service(
         name, encode(publish(number, 4, 1 + random.random()))
     )
-    changed = type(current)(
+    changed = Configuration(
         current.version + 1, {**current.services, name: service}
     )
     return Delta(
@@ -178,7 +189,8 @@
         return
     for size in SIZES:
         command = [sys.executable, "-m", "measure.configuration_cost"]
-        run([*command, str(size)], check=True)
+        packed = pack_version(size)
+        run([*command, str(size)], input=packed, check=True)
 
 
 if __name__ == "__main__":
