--- a/chicorycart/configuration/peers.py
+++ b/chicorycart/configuration/peers.py
@@ -85,8 +85,23 @@
         }
         self.heard = {a: t for a, t in self.heard.items() if a in listed}
 
-    def note_heard(self, address: Address) -> None:
+    def resolve(self, source: Address) -> Address:
+        """Return the data address of a peer that may send from another port.
+
+        A peer whose path went silent goes on from a new source port.
+        """
+        if source in self.peers:
+            return source
+        same_host = (a for a in self.peers if a.host == source.host)
+        return next(same_host, source)
+
+    def find(self, source: Address) -> Peer | None:
+        """Return the peer that a datagram came from, if it is known."""
+        return self.peers.get(self.resolve(source))
+
+    def note_heard(self, source: Address) -> None:
         """Remember that a datagram came from a peer."""
+        address = self.resolve(source)
         if address in self.peers:
             self.heard[address] = self.clock.now()
 
--- a/chicorycart/configuration/rumours.py
+++ b/chicorycart/configuration/rumours.py
@@ -145,7 +145,7 @@
             return
         if rumour.delta and self.take_delta(decode_delta(rumour.delta)):
             return
-        self.fetcher.notice(rumour.version, self.table.peers.get(source))
+        self.fetcher.notice(rumour.version, self.table.find(source))
 
     def take_delta(self, delta: Delta) -> bool:
         """Take a pushed delta; False if the version must be fetched."""
--- a/chicorycart/configuration/service_follower.py
+++ b/chicorycart/configuration/service_follower.py
@@ -222,13 +222,14 @@
         """Take an update from a balancer."""
         update = decode_update(body)
         self.table.note_heard(source)
-        self.unanswered.pop(source, None)
+        balancer = self.table.resolve(source)
+        self.unanswered.pop(balancer, None)
         if self.keeper.is_news(update.version) and not self.take(update):
             # The state itself was lost on the way.
             self.notice_version(update.version)
             return
         if self.waits_for:
-            self.waits_for.discard(source)
+            self.waits_for.discard(balancer)
 
     def take(self, update: ServiceUpdate) -> bool:
         """Put an update in force; False if its state did not come along."""
