--- a/chicorycart/balancer/daemon.py
+++ b/chicorycart/balancer/daemon.py
@@ -137,9 +137,9 @@
             create_task(self.instances.run()),
             *self.membership.start(),
             create_task(self.versions.run()),
+            create_task(self.serve_fabric()),
         ]
         self.data_socket.start(self.link.main)
-        tasks.append(create_task(self.serve_fabric()))
         await stop.wait()
         self.stopping = True
         for task in tasks:
--- a/chicorycart/configuration/digests.py
+++ b/chicorycart/configuration/digests.py
@@ -93,7 +93,7 @@
         self.table.note_heard(source)
         current = self.keeper.store.current
         if digest.version > current.version:
-            peer = self.table.peers.get(source)
+            peer = self.table.find(source)
             self.fetcher.notice(digest.version, peer)
         elif digest.version < current.version:
             self.rumours.send_rumour(digest.version, source)
