--- a/chicorycart/agent/delivery.py
+++ b/chicorycart/agent/delivery.py
@@ -82,7 +82,7 @@
         """Deliver a packet of an owned flow; seek the owner of others."""
         if self.table.owns(packet.flow):
             self.output.keep(forward, packet, "owner")
-        elif packet.is_opening:
+        elif packet.is_opening or is_udp(packet.flow):
             self.openings.place(forward, packet, source)
         else:
             self.search.pass_on(forward, packet)
