--- a/chicorycart/agent/delivery.py
+++ b/chicorycart/agent/delivery.py
@@ -9,6 +9,7 @@
 from chicorycart.packets.errors import PacketError
 from chicorycart.packets.forward import decode_forward
 from chicorycart.packets.forward import Forward
+from chicorycart.packets.ipv4 import is_udp
 from chicorycart.packets.ipv4 import Packet
 from chicorycart.packets.ipv4 import parse_packet
 
--- a/tests/flows/model_steps.py
+++ b/tests/flows/model_steps.py
@@ -9,6 +9,7 @@
 from tests.flows.finding_model import Rules as FindingRules
 from tests.flows.opening_model import OpeningModel
 from tests.flows.opening_model import Rules as OpeningRules
+from tests.flows.replay import limit_candidates
 from tests.flows.replay import walk
 
 
@@ -53,7 +54,8 @@
         kind = read_rules(OpeningRules, rules)
         return [walk(kind, seed, steps) for seed in range(walks)]
 
-    context.walked = context.run(walk_all())
+    with limit_candidates():
+        context.walked = context.run(walk_all())
 
 
 @then("they agreed with the model after each of at least {steps:d} steps")
--- a/tests/flows/replay.py
+++ b/tests/flows/replay.py
@@ -1,6 +1,7 @@
 """Plays the steps of the opening model on the real classes."""
 
 from random import Random
+from unittest.mock import patch
 
 import dpkt
 from prometheus_client import CollectorRegistry
@@ -30,6 +31,7 @@
 from chicorycart.packets.forward import Forward
 from chicorycart.packets.ipv4 import hash_flow
 from chicorycart.packets.ipv4 import parse_packet
+from chicorycart.placement import chain as chain_module
 from chicorycart.placement.chain import bucket_of
 from chicorycart.placement.chain import choose_candidates
 from tests.flows import opening_model as model
@@ -84,7 +86,15 @@
     raise AssertionError("no flow has these candidates")
 
 
-OPENING = find_opening()
+def limit_candidates():
+    """Return a context in which a flow has as many as in the model."""
+    return patch.object(
+        chain_module, "CURRENT_CANDIDATES", model.CANDIDATE_COUNT
+    )
+
+
+with limit_candidates():
+    OPENING = find_opening()
 FLOW = parse_packet(OPENING).flow
 
 
