--- a/measure/owner_records.py
+++ b/measure/owner_records.py
@@ -9,6 +9,7 @@
 import capnp
 
 from chicorycart.defaults import BUCKETS_PER_SERVICE
+from chicorycart.defaults import CURRENT_CANDIDATES
 from chicorycart.defaults import OWNER_LEASE_SECONDS
 from chicorycart.defaults import OWNER_REFRESH_SECONDS
 from chicorycart.flows.messages import encode_record
@@ -17,7 +18,6 @@
 FLOWS_PER_HOST = 140_000_000 // 38_000
 FLOW_COUNTS = (1, 10, 100, 1_000, FLOWS_PER_HOST)
 MATES = 9
-CANDIDATES = 2
 MAX_FLOWS_PER_MESSAGE = 150
 SEED = 1
 
@@ -27,7 +27,7 @@
 def measure_flow_records(flows: list[bytes]) -> int:
     """Return the bytes of one round with a record a flow.
 
-    Each flow goes to its two candidates, in messages that fit a packet.
+    Each flow goes to its candidates, in messages that fit a packet.
     """
     total = 0
     for start in range(0, len(flows), MAX_FLOWS_PER_MESSAGE):
@@ -37,7 +37,7 @@
         part = flows[start : start + MAX_FLOWS_PER_MESSAGE]
         message.hashes = [int.from_bytes(flow, "big") for flow in part]
         total += 1 + len(message.to_bytes())
-    return total * CANDIDATES
+    return total * CURRENT_CANDIDATES
 
 
 def measure_bucket_records(buckets: frozenset[int]) -> int:
--- a/tests/flows/openings_steps.py
+++ b/tests/flows/openings_steps.py
@@ -131,12 +131,11 @@
         caller.is_silent = False
 
 
-@when("balancer 1 and agents 1 and 2 are cut off from the others")
+@when("balancer 1 and agents 1 to 4 are cut off from the others")
 def cut(context):
     fleet = context.fleet
-    context.side = [
-        fleet.balancers["b-1"], fleet.agents[1], fleet.agents[2]
-    ]  # fmt: skip
+    agents = [fleet.agents[number] for number in range(1, 5)]
+    context.side = [fleet.balancers["b-1"], *agents]
     for node in context.side:
         fleet.wire.sides[node.address] = 1
 
--- a/tests/flows/ownership.feature
+++ b/tests/flows/ownership.feature
@@ -2,7 +2,7 @@
 Feature: Flows stay with their owner
 
   Background:
-    Given 4 agents and 3 balancers of one service
+    Given 8 agents and 3 balancers of one service
 
   Scenario: A feed survives the drain of its target and what comes after
     When 20 callers open feeds
