Test UDP flows and strengthen two scenarios of ownership

Cause: UDP has no opening packet; two checks had lost their force with the larger fleet (asking for records; sequence numbers in a partition).

--- a/tests/flows/openings.feature
+++ b/tests/flows/openings.feature
@@ -55,7 +55,7 @@
     When balancer 1 and agents 1 to 4 are cut off from the others
     And each balancer suspects the agents it cannot reach
     And 40 callers open connections whose first answers are lost
-    And the callers send their requests
+    And the callers send requests whose first answers are lost
     And the partition ends
     And 60 seconds pass
     Then some connections lie on two hosts
--- a/tests/flows/openings_steps.py
+++ b/tests/flows/openings_steps.py
@@ -164,6 +164,17 @@
     context.run(ask())
 
 
+@when("the callers send requests whose first answers are lost")
+def ask_with_losses(context):
+    for caller in context.feeds:
+        caller.loses_answers = True
+        in_loop(context, caller.ask)
+    context.run(sleep(LOST_SECONDS))
+    for caller in context.feeds:
+        caller.loses_answers = False
+    context.run(sleep(ANSWER_SECONDS))
+
+
 @then("every connection lies on one host and answers")
 def check_connections(context):
     ask_all(context)
--- a/tests/flows/ownership_steps.py
+++ b/tests/flows/ownership_steps.py
@@ -10,7 +10,9 @@
 from chicorycart.configuration.model import ServiceKind
 from chicorycart.configuration.model import TargetState
 from chicorycart.defaults import HANDSHAKE_SECONDS
+from chicorycart.defaults import TICK_SECONDS
 from tests.standins.fleet import Fleet
+from tests.standins.fleet import TCP
 
 FIRST_PORT = 40_000
 MINUTE_SECONDS = 60
@@ -43,9 +45,16 @@
 
 
 @given("{agents:d} agents and {balancers:d} balancers of one service")
-def start_fleet(context, agents, balancers, kind=ServiceKind.HTTP, seed=1):
+def start_fleet(
+    context,
+    agents,
+    balancers,
+    kind=ServiceKind.HTTP,
+    seed=1,
+    protocol=TCP,
+):
     async def start():
-        context.fleet = Fleet(kind, seed)
+        context.fleet = Fleet(kind, seed, protocol)
         context.fleet.start(agents, balancers)
         await sleep(HANDSHAKE_SECONDS)
 
@@ -94,8 +103,19 @@
         pass_time(context, MINUTE_SECONDS)
 
 
+async def wait_for_record(agent):
+    """Return right after the agent began to send a record."""
+    sequence = agent.ownership.announcer.sequence
+    for _ in range(int(MINUTE_SECONDS / TICK_SECONDS)):
+        if agent.ownership.announcer.sequence > sequence:
+            return
+        await sleep(TICK_SECONDS)
+    raise AssertionError("no record within a minute")
+
+
 @when("every agent but that of the first feed is replaced")
 def replace_others(context):
+    context.run(wait_for_record(context.fleet.agents[context.first_owner]))
     context.run(sleep(OFF_BEAT_SECONDS))
     for number in context.fleet.agents:
         if number != context.first_owner:
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from random import Random
 from socket import inet_aton
+from socket import inet_ntoa
 
 import dpkt
 from prometheus_client import CollectorRegistry
@@ -34,6 +35,7 @@
 
 ENTRY = Address("203.0.113.1", 80)
 SERVICE = "dispatch"
+TCP = 6
 NO_LOG = DecisionLog(0.0)
 PING_SECONDS = 20.0
 
@@ -80,6 +82,7 @@
         self.random = fleet.random
         self.connections = {}
         self.runs = Counter()
+        self.datagrams = Counter()
         self.resets = 0
 
     def list_flows(self, entry_key):
@@ -92,7 +95,11 @@
 
     def deliver(self, packet):
         """Take a packet from the agent."""
-        self.take(packet, None)
+        ip = dpkt.ip.IP(packet)
+        if ip.p == dpkt.ip.IP_PROTO_UDP:
+            self.datagrams[inet_ntoa(ip.src), ip.data.sport] += 1
+        else:
+            self.take(packet, None)
 
     def carry(self, packet):
         """Send a packet of an answer."""
@@ -239,8 +246,9 @@
 class Fleet:
     """Everything of one service."""
 
-    def __init__(self, kind=ServiceKind.HTTP, seed=1):
+    def __init__(self, kind=ServiceKind.HTTP, seed=1, protocol=TCP):
         self.kind = kind
+        self.protocol = protocol
         self.random = Random(seed)
         self.wire = MemoryWire(Random(seed))
         self.versions = []
@@ -277,7 +285,8 @@
             )
             for number, state in sorted(self.states.items())
         )  # fmt: skip
-        service = Service(SERVICE, Entry(ENTRY, 6), self.kind, targets)
+        entry = Entry(ENTRY, self.protocol)
+        service = Service(SERVICE, entry, self.kind, targets)
         version = len(self.versions) + 1
         self.versions.append(Configuration(version, {SERVICE: service}))
 
--- a/tests/standins/segments.py
+++ b/tests/standins/segments.py
@@ -54,11 +54,18 @@
     """Wrap a TCP segment into an IPv4 packet with correct checksums."""
     segment.sport = source.port
     segment.dport = destination.port
+    return build_ip(source, destination, dpkt.ip.IP_PROTO_TCP, segment)
+
+
+def build_ip(
+    source: Address, destination: Address, protocol: int, data: dpkt.Packet
+) -> bytes:
+    """Wrap a TCP segment or UDP datagram into an IPv4 packet."""
     ip = dpkt.ip.IP(
         src=bytes(map(int, source.host.split("."))),
         dst=bytes(map(int, destination.host.split("."))),
-        p=dpkt.ip.IP_PROTO_TCP,
-        data=segment,
+        p=protocol,
+        data=data,
     )
     ip.len = len(ip)
     return bytes(ip)
