--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -131,6 +131,7 @@
 
 MAX_PENDING_OPENINGS = 4_096
 """Opening packets of one agent that wait for claims."""
+
 STRENGTH_WINDOW_SECONDS = 10.0
 """Time between two changes of a target's measured strength."""
 
@@ -151,6 +152,7 @@
 
 SLOW_START_INITIAL_SHARE = 0.1
 """Share of its strength that a new target reports at its start."""
+
 HEARTBEAT_SECONDS = 1.0
 """Mean time between two heartbeats to the same mate."""
 
@@ -166,13 +168,13 @@
 DEPARTED_MATE_SECONDS = 60.0
 """Time for which a silent mate outside the configuration is kept."""
 
-PAUSE_SECONDS = 1.5
+LATE_TIMER_SECONDS = 1.5
 """Delay of a timer that counts as a pause of the process."""
 
-SUSPICION_LEASE_SECONDS = 30.0
+SUSPICION_LEASE_SECONDS = 60.0
 """Time after which a suspicion lapses unless it is renewed."""
 
-SUSPICION_RENEWAL_SECONDS = 10.0
+SUSPICION_RENEWAL_SECONDS = 20.0
 """Age at which a suspicion that is still reported is renewed."""
 
 MAX_SUSPICIONS = 32_768
@@ -196,19 +198,25 @@
 PROBE_SECONDS = 1.0
 """Silence after a probe that counts as evidence against the suspect."""
 
+PROBE_BYTES_PER_SECOND = 500
+"""Bytes of probes of reported agents that a balancer may send."""
+
+PROBE_BURST_BYTES = 500
+"""Bytes of probes that a balancer may send at once."""
+
 GOSSIP_SECONDS = 0.5
 """Time between two rounds of gossip."""
 
 GOSSIP_PEERS = 2
 """Balancers that one round of gossip goes to."""
 
-GOSSIP_SENDS = 8
+GOSSIP_SENDS = 10
 """Times that a balancer passes on one record."""
 
-GOSSIP_BYTES_PER_SECOND = 1_000
+SUSPICION_BYTES_PER_SECOND = 1_000
 """Bytes of gossip that a balancer may send, headers included."""
 
-GOSSIP_BURST_BYTES = 2_000
+SUSPICION_BURST_BYTES = 1_000
 """Bytes of gossip that a balancer may send at once."""
 
 GOSSIP_RECORDS = 24
@@ -216,11 +224,13 @@
 
 DATAGRAM_HEADER_BYTES = 28
 """Bytes of the IPv4 and UDP headers of a datagram."""
+
 TOOL_TIMEOUT_SECONDS = 5.0
 """Time the command-line tool gives one daemon to answer."""
 
 DRAIN_POLL_SECONDS = 1.0
 """Time between two looks at a target whose drain is followed."""
+
 SKEWED_READ_TRIES = 3
 """Times that an index is read anew before a skewed read has failed."""
 
@@ -283,6 +293,7 @@
 
 DELTA_HISTORY = 1_024
 """Versions back to which a delta can be made."""
+
 REPLAY_BODY_BYTES = 65_536
 """Beginning of a request body that is kept to send it again."""
 
@@ -366,35 +377,27 @@
 
 MAX_FORWARD_HEADER_BYTES = 1_024
 """Size above which the header of a forwarded packet is refused."""
-MAX_SEARCH_LENGTH = 12
-"""Agents that one packet may be offered to while its owner is sought."""
-
-OWNER_LEASE_SECONDS = 90.0
-"""Time after which an owner record lapses unless it is refreshed."""
-
-OWNER_REFRESH_SECONDS = 30.0
-"""Time between two owner records of one owner."""
 
-OWNER_BYTES_PER_SECOND = 1024
-"""Rate at which one agent sends owner records."""
+MAX_MOVED_PEERS = 64
+"""Peers to which a process sends from another port than the published."""
 
-OWNER_REPEAT_SECONDS = 1.0
-"""Time in which an owner record is sent to one agent at most once."""
+PATH_MOVE_SECONDS = 6.0
+"""Time between two moves of the path to a silent peer."""
 
-MAX_LEASE_SECONDS = 600.0
-"""Longest lease of an owner record that is believed."""
+PATH_MOVE_MAX_SECONDS = 60.0
+"""Longest time between two moves of the path to a silent peer."""
 
-MAX_RECORD_OWNERS = 64
-"""Owners of one service whose records an agent holds."""
+PATH_PROBES_PER_SECOND = 2.0
+"""Agents whose path a balancer checks each second."""
 
-MAX_KNOWN_AGENTS = 256
-"""Present and past agents of its service that an agent knows."""
+PATH_PROBE_TRIES = 3
+"""Probes without an answer after which a path counts as silent."""
 
-SCAN_SLICE_FLOWS = 256
-"""Owned flows that are looked at before other work gets its turn."""
+KEEPALIVE_SECONDS = 2.0
+"""Time between two heartbeats on a connection."""
 
-SETTLING_SECONDS = 12.0
-"""Time in which versions and owner records reach every agent."""
+KEEPALIVE_TIMEOUT_SECONDS = 7.0
+"""Silence after which a connection is closed."""
 
 ADOPTION_SECONDS = 7_200.0
 """Time after a start in which flows that nobody owns are adopted."""
@@ -402,17 +405,20 @@
 ADOPTED_FLOW_SECONDS = 60.0
 """Time for which an adopted flow is owned without a second packet."""
 
-TICK_SECONDS = 0.5
-"""Time between two signs that a process was not paused."""
-
-PAUSE_SECONDS = 2.0
-"""Time without a sign after which a process was paused."""
+DOMAIN_SUSPECTS = 3
+"""Suspected agents of a failure domain on which the domain is checked."""
 
-CLAIM_TIMEOUT_SECONDS = 0.1
-"""Time for which an opening packet waits for claims of other agents."""
+DOMAIN_PROBES = 6
+"""Agents probed in turn without an answer until their domain is suspected."""
 
-MAX_PENDING_OPENINGS = 4_096
-"""Opening packets of one agent that wait for claims."""
+DOMAIN_CHECK_SECONDS = 1.0
+"""Time between two probes of a failure domain that is checked."""
 
 PACKED_ADDRESS_CACHE_ENTRIES = 4_096
 """Unpacked addresses that a process keeps ready."""
+
+DOMAIN_RECHECK_SECONDS = 5.0
+"""Time between two probes of a failure domain that is suspected."""
+
+DOMAIN_DRAWN_AGENTS = 64
+"""Agents of a domain among which one is chosen for a probe."""
--- a/tests/membership/suspicion_steps.py
+++ b/tests/membership/suspicion_steps.py
@@ -7,6 +7,8 @@
 from behave import then
 from behave import when
 
+from chicorycart.address import Address
+from chicorycart.address import pack_address
 from chicorycart.balancer.forwarding import ChainCache
 from chicorycart.configuration.model import hash_name
 from chicorycart.configuration.store import ConfigurationStore
@@ -101,6 +103,32 @@
         kill(context, name)
 
 
+@when("{count:d} agents are killed at once")
+def kill_many(context, count):
+    context.killed = set(list(context.fleet.targets)[-count:])
+    for name in context.killed:
+        kill(context, name)
+
+
+@when('"{name}" learns of {count:d} dead agents at once')
+def learn_many(context, name, count):
+    book = context.fleet.nodes[name].membership.suspicions
+
+    def learn():
+        for number in range(count):
+            agent = Address(f"10.0.{number // 250}.{number % 250 + 1}", 7001)
+            book.suspect(pack_address(agent), 1)
+
+    call(context, learn)
+
+
+@then("every balancer suspects {count:d} agents")
+def check_count(context, count):
+    for name in context.fleet.balancers:
+        book = context.fleet.nodes[name].membership.suspicions
+        assert len(book.suspected) == count, len(book.suspected)
+
+
 @when('agent "{name}" starts again')
 def start_again(context, name):
     call(context, context.fleet.start, name)
@@ -111,7 +139,7 @@
     call(context, context.fleet.start, name, PAST_SECONDS)
 
 
-@when("{seconds:d} s pass")
+@when("{seconds:d} s of virtual time pass")
 def let_pass(context, seconds):
     run_for(context, seconds)
 
@@ -130,13 +158,13 @@
 
 
 def pause(context, name, seconds, is_deaf):
-    link = context.fleet.nodes[name].link
-    link.pause()
-    call(context, wake_later, link, seconds, is_deaf)
+    socket = context.fleet.nodes[name].socket
+    socket.pause()
+    call(context, wake_later, socket, seconds, is_deaf)
 
 
-def wake_later(link, seconds, is_deaf):
-    get_running_loop().call_later(seconds, link.wake, is_deaf)
+def wake_later(socket, seconds, is_deaf):
+    get_running_loop().call_later(seconds, socket.wake, is_deaf)
 
 
 @when("all datagrams are recorded")
@@ -158,22 +186,22 @@
     network.journal = [
         datagram
         for datagram in network.journal
-        if balancers.issuperset(datagram[2:])
+        if balancers.issuperset(datagram[1:])
     ]
     replay(context)
 
 
 @when('agent "{name}" is cut off from all others')
 def cut_off(context, name):
-    context.fleet.network.sides[context.fleet.targets[name].agent] = 1
+    context.fleet.network.sides[context.fleet.targets[name].agent.host] = 1
 
 
 @when('agent "{name}" is cut off from the other agents only')
 def cut_from_agents(context, name):
-    own = context.fleet.targets[name].agent
+    own = context.fleet.targets[name].agent.host
     for target in context.fleet.targets.values():
-        pairs = {(own, target.agent), (target.agent, own)}
-        context.fleet.network.severed |= pairs
+        pairs = {(own, target.agent.host), (target.agent.host, own)}
+        context.fleet.network.cut_hosts |= pairs
 
 
 @when('failure domain "{domain}" is cut off from the others')
@@ -186,10 +214,10 @@
         name for name, b in fleet.balancers.items() if b.domain == domain
     }
     for name in context.beyond | context.inside:
-        fleet.network.sides[fleet.nodes[name].link.address] = 1
+        fleet.network.sides[fleet.nodes[name].socket.address.host] = 1
 
 
-@when("the cut heals")
+@when("the network heals")
 def heal(context):
     context.fleet.network.sides.clear()
 
@@ -227,7 +255,9 @@
 
 @then("each of them is refused and changes nothing")
 def check_lies(context):
-    assert context.fleet.nodes["t-2"].link.refused == len(context.lies)
+    dropped = context.fleet.nodes["t-2"].link.main.dropped
+    refused = dropped.labels("malformed")._value.get()
+    assert refused == len(context.lies), refused
     assert context.fleet.mate("t-2", "t-1").incarnation < 1 << 60
     assert context.fleet.mate("t-2", "t-3").incarnation < 1 << 60
 
@@ -275,6 +305,37 @@
         assert context.watches[name].suspicions == 0, name
 
 
+@then(
+    "no balancer sends more than {limit:d} bytes in any of the next"
+    " {seconds:d} s, {gossip_limit:d} of them gossip"
+)
+def check_budget(context, limit, seconds, gossip_limit):
+    nodes = [context.fleet.nodes[name] for name in context.fleet.balancers]
+    for _ in range(seconds):
+        before = [count_sent(node) for node in nodes]
+        run_for(context, 1)
+        for node, (all_before, gossip_before) in zip(
+            nodes, before, strict=True
+        ):
+            all_now, gossip_now = count_sent(node)
+            assert all_now - all_before <= limit, all_now - all_before
+            gossip = gossip_now - gossip_before
+            assert gossip <= gossip_limit, gossip
+    assert all(min(count_sent(node)) > 0 for node in nodes)
+
+
+def count_sent(node):
+    gossip = node.socket.kind_bytes[MessageKind.SUSPICION]
+    return node.socket.sent_bytes, gossip
+
+
+@then("every balancer suspects the killed agents, and only those")
+def check_killed(context):
+    check_suspects = context.fleet.suspects_of
+    for name in context.fleet.balancers:
+        assert call(context, check_suspects, name) == context.killed
+
+
 @then("no balancer keeps a record, and each told that suspicions lapsed")
 def check_forgotten(context):
     for name in context.fleet.balancers:
@@ -294,9 +355,9 @@
 
 @then('"{name}" reported nothing')
 def check_no_report(context, name):
-    link = context.fleet.nodes[name].link
-    assert link.kinds[MessageKind.HEARTBEAT] > 0
-    assert link.kinds[MessageKind.SUSPICION] == 0
+    socket = context.fleet.nodes[name].socket
+    assert socket.kind_bytes[MessageKind.HEARTBEAT] > 0
+    assert socket.kind_bytes[MessageKind.SUSPICION] == 0
 
 
 @then('its mates saw "{name}" restart once')
@@ -354,4 +415,4 @@
     suspicions = fleet.nodes[balancer].membership.suspicions
     cache = ChainCache(store, suspicions)
     service = store.current.services[SERVICE]
-    return [cache.find(service, bucket) for bucket in range(BUCKETS)]
+    return [cache.find(service, bucket).chain for bucket in range(BUCKETS)]
