--- a/chicorycart/agent/delivery.py
+++ b/chicorycart/agent/delivery.py
@@ -9,6 +9,7 @@
 from chicorycart.packets.errors import PacketError
 from chicorycart.packets.forward import decode_forward
 from chicorycart.packets.forward import Forward
+from chicorycart.packets.ipv4 import is_udp
 from chicorycart.packets.ipv4 import Packet
 from chicorycart.packets.ipv4 import parse_packet
 
@@ -82,7 +83,7 @@
         """Deliver a packet of an owned flow; seek the owner of others."""
         if self.table.owns(packet.flow):
             self.output.keep(forward, packet, "owner")
-        elif packet.is_opening:
+        elif packet.is_opening or is_udp(packet.flow):
             self.openings.place(forward, packet, source)
         else:
             self.search.pass_on(forward, packet)
