Let agents choose by the loads they hear, and measure strength at the gateway

Cause: the agent's daemon had no choice by load, and its gateway reported a rate without slow start, bounded steps or a scale for new targets. RequestLoad reports the gateway's requests against the StrengthMeter, which is told the slot times that the gateway measures; until ten are known, the weight counts on the scale of the mates. Seen failing first: without the meter's feed, the slots and the measured strength, a scenario of strength.feature was red each.

--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -14,6 +14,7 @@
 from chicorycart.agent.host import DecapsulatingHost
 from chicorycart.agent.kernel import KernelConnections
 from chicorycart.agent.load import FlowLoad
+from chicorycart.agent.load import RequestLoad
 from chicorycart.agent.membership import AgentMembership
 from chicorycart.agent.ownership import FlowOwnership
 from chicorycart.agent.pages import list_pages
@@ -27,6 +28,7 @@
 from chicorycart.configuration.values import HttpValues
 from chicorycart.defaults import READER_CALLS_BURST
 from chicorycart.defaults import READER_CALLS_PER_SECOND
+from chicorycart.defaults import START_SERVICE_SECONDS
 from chicorycart.flows.mates import ServiceMates
 from chicorycart.links.datagrams import DatagramLink
 from chicorycart.links.sockets import DatagramSocket
@@ -36,6 +38,8 @@
 from chicorycart.membership.sources import KnownSources
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.operation.endpoints import serve_endpoints
+from chicorycart.placement.choice import LoadChoice
+from chicorycart.placement.strength import StrengthMeter
 from chicorycart.requests.build import build_gateway
 from chicorycart.requests.server import RequestServer
 from chicorycart.settings.model import AgentSettings
@@ -60,13 +64,16 @@
         self.store.subscribe(self.sources)
         self.data_socket = DatagramSocket(daemon.data)
         self.link = DatagramLink(self.data_socket, self.sources, self.registry)
+        self.acceptance = TargetAcceptance(
+            self.store, settings.service, settings.target
+        )
         self.ownership = FlowOwnership(
             ServiceMates(
                 self.store, settings.service, pack_address(daemon.data), clock
             ),
             DecapsulatingHost(self.data_socket, settings.decapsulation),
             KernelConnections(),
-            TargetAcceptance(self.store, settings.service, settings.target),
+            self.acceptance,
             self.link,
             time_ns(),
             clock,
@@ -119,8 +126,20 @@
                 Random(),
                 self.registry,
             )
-            self.membership.use_load(gateway)
+            self.membership.use_load(
+                RequestLoad(
+                    gateway,
+                    StrengthMeter(clock, 1, 1 / START_SERVICE_SECONDS),
+                    self.store,
+                    settings.service,
+                    settings.target,
+                    self.membership.mates,
+                )
+            )
             self.requests = RequestServer(gateway)
+        self.acceptance.choice = LoadChoice(
+            self.membership.monitor.own.load, self.membership.mates
+        )
 
     def is_ready(self) -> bool:
         """Tell whether a configuration is in force and no stop began."""
--- a/chicorycart/agent/load.py
+++ b/chicorycart/agent/load.py
@@ -1,15 +1,74 @@
-"""The load of a target whose packets bypass the request gateway."""
+"""The load of the target that an agent stands beside."""
 
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.flows.table import FlowTable
 from chicorycart.placement.load import Load
+from chicorycart.placement.load import MateLoads
+from chicorycart.placement.strength import initial_strength
+from chicorycart.placement.strength import StrengthMeter
+from chicorycart.requests.gateway import Gateway
 
 DEFAULT_STRENGTH = 1.0
 
 
+class RequestLoad:
+    """The requests at a gateway against the measured strength.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        Runs the requests.
+    meter : StrengthMeter
+        Measures what one slot gets done.
+    store : ConfigurationStore
+        Publishes the weight, which counts until enough is measured.
+    service, target : str
+        The target that the agent stands beside, and its service.
+    mates : MateLoads
+        Give the weight its scale.
+    """
+
+    __slots__ = ("gateway", "meter", "store", "service", "target", "mates")
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        meter: StrengthMeter,
+        store: ConfigurationStore,
+        service: str,
+        target: str,
+        mates: MateLoads,
+    ):
+        self.gateway = gateway
+        self.meter = meter
+        self.store = store
+        self.service = service
+        self.target = target
+        self.mates = mates
+        gateway.slots.service_time.meter = meter
+
+    def current_load(self) -> Load:
+        """Return the load at this moment."""
+        load = self.gateway.current_load()
+        load.strength = self.strength()
+        return load
+
+    def strength(self) -> float:
+        """Return the strength to report."""
+        if self.meter.is_measured:
+            return self.meter.current() * self.gateway.slots.limit
+        service = self.store.current.services.get(self.service)
+        if service is None:
+            return DEFAULT_STRENGTH
+        assumed = initial_strength(service, self.target, self.mates)
+        return assumed * self.meter.share()
+
+
 class FlowLoad:
     """Counts owned flows against the published weight.
 
+    For targets whose packets bypass the request gateway.
+
     Parameters
     ----------
     table : FlowTable
--- a/chicorycart/placement/strength.py
+++ b/chicorycart/placement/strength.py
@@ -91,9 +91,12 @@
 
     def current(self) -> float:
         """Return the strength to report, less while the target is new."""
+        return self.strength * self.share()
+
+    def share(self) -> float:
+        """Return the share of its strength that a new target reports."""
         age = self.clock.now() - self.started_at
-        share = SLOW_START_INITIAL_SHARE + age / SLOW_START_SECONDS
-        return self.strength * min(1.0, share)
+        return min(1.0, SLOW_START_INITIAL_SHARE + age / SLOW_START_SECONDS)
 
 
 def initial_strength(service: Service, name: str, mates: MateLoads) -> float:
--- a/chicorycart/requests/rate.py
+++ b/chicorycart/requests/rate.py
@@ -1,6 +1,7 @@
 """Measures how fast the target gets its work done."""
 
 from chicorycart.defaults import SERVICE_TIME_SHARE
+from chicorycart.placement.strength import StrengthMeter
 
 
 class ServiceTime:
@@ -10,17 +11,25 @@
     ----------
     start_seconds : float
         Taken as the average until the first request is measured.
+
+    Attributes
+    ----------
+    meter : StrengthMeter or None
+        Is told each time too.
     """
 
-    __slots__ = ("mean_seconds", "samples")
+    __slots__ = ("mean_seconds", "samples", "meter")
 
     def __init__(self, start_seconds: float):
         self.mean_seconds = start_seconds
         self.samples = 0
+        self.meter: StrengthMeter | None = None
 
     def observe(self, seconds: float) -> None:
         """Take the time of one request into the average."""
         self.samples += 1
+        if self.meter is not None:
+            self.meter.record(seconds)
         share = max(SERVICE_TIME_SHARE, 1 / self.samples)
         self.mean_seconds += (seconds - self.mean_seconds) * share
 
--- a/tests/membership/suspicion_steps.py
+++ b/tests/membership/suspicion_steps.py
@@ -354,4 +354,4 @@
     suspicions = fleet.nodes[balancer].membership.suspicions
     cache = ChainCache(store, suspicions)
     service = store.current.services[SERVICE]
-    return [cache.find(service, bucket) for bucket in range(BUCKETS)]
+    return [cache.find(service, bucket).chain for bucket in range(BUCKETS)]
--- a/tests/placement/strength.feature
+++ b/tests/placement/strength.feature
@@ -8,14 +8,14 @@
   Scenario: Idle periods change nothing
     Given a target of 4 slots that is assumed to end 1 work a second
     When 50 works of 0.2 s end
-    And 600 s pass
+    And 600 s are over
     And 50 works of 0.2 s end
     Then its strength is between 19.9 and 20.1
 
   Scenario: One slow spell changes the strength by a bounded step
     Given a target of 4 slots that is assumed to end 1 work a second
     When 10 works of 0.2 s end
-    And 20 s pass
+    And 20 s are over
     And 50 works of 8 s end
     Then its strength is between 15.9 and 16.1
 
@@ -28,16 +28,16 @@
   Scenario: A feed that stays open says nothing of the speed
     Given a target of 4 slots that is assumed to end 1 work a second
     When 50 works of 0.2 s end
-    And 20 s pass
+    And 20 s are over
     And 50 works of 3600 s end
     Then its strength is between 19.9 and 20.1
 
   Scenario: A new target reports its strength little by little
     Given a target of 4 slots that is assumed to end 20 works a second
     Then it reports between 1.9 and 2.1
-    When 15 s pass
+    When 15 s are over
     Then it reports between 11.9 and 12.1
-    When 15 s pass
+    When 15 s are over
     Then it reports between 19.9 and 20.1
 
   Scenario: An unmeasured target takes its scale from its mates
@@ -47,3 +47,12 @@
   Scenario: Without mates the published weight is the strength
     Given no mate was heard
     Then a target of weight 2 is assumed to end 2 works a second
+
+  Scenario: A gateway reports what its slots get done
+    Given an agent with a gateway of 4 slots, whose mates end 18 a second
+    When 60 s are over
+    Then it reports a strength of 18
+    When 10 requests hold a slot for 0.2 s
+    Then it reports a strength of 20
+    When its slots become 2
+    Then it reports a strength of 10
--- a/tests/placement/strength_steps.py
+++ b/tests/placement/strength_steps.py
@@ -5,9 +5,14 @@
 from behave import when
 
 from chicorycart.address import pack_address
+from chicorycart.agent.load import RequestLoad
+from chicorycart.configuration.model import Configuration
+from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.placement.load import Load
 from chicorycart.placement.strength import initial_strength
 from chicorycart.placement.strength import StrengthMeter
+from chicorycart.requests.rate import ServiceTime
+from chicorycart.requests.slots import Slots
 from tests.placement.chain_steps import make_service
 from tests.placement.choice_steps import FixedMates
 
@@ -60,7 +65,7 @@
         end_works(context, count, seconds)
 
 
-@when("{seconds:g} s pass")
+@when("{seconds:g} s are over")
 def pass_time(context, seconds):
     context.clock.time += seconds
 
@@ -79,3 +84,53 @@
 def check_initial(context, rate):
     found = initial_strength(context.service, "own", context.mates)
     assert found == rate, found
+
+
+class FixedGateway:
+    """A gateway with slots, as a load is read from it."""
+
+    def __init__(self, slots):
+        self.slots = slots
+
+    def current_load(self):
+        return Load(1, 2, self.slots.rate, True)
+
+
+@given("an agent with a gateway of 4 slots, whose mates end 18 a second")
+def gateway(context):
+    mates(context, "18, 18 and 18")
+    context.service.find_target("own").weight = 1.0
+    context.clock = SetClock()
+    store = ConfigurationStore(context.clock)
+    services = {context.service.name: context.service}
+    store.put_in_force(Configuration(1, services))
+    context.slots = Slots(context.clock, ServiceTime(1.0), 4)
+    meter = StrengthMeter(context.clock, 1, 1.0)
+    context.load = RequestLoad(
+        FixedGateway(context.slots),
+        meter,
+        store,
+        context.service.name,
+        "own",
+        context.mates,
+    )
+
+
+@when("{count:d} requests hold a slot for {seconds:g} s")
+def hold_slots(context, count, seconds):
+    for _ in range(count):
+        slot = context.slots.take()
+        context.clock.time += seconds
+        slot.release()
+
+
+@when("its slots become {count:d}")
+def change_slots(context, count):
+    context.slots.set_limit(count)
+
+
+@then("it reports a strength of {strength:g}")
+def check_reported(context, strength):
+    load = context.load.current_load()
+    assert abs(load.strength - strength) < 0.01, load.strength
+    assert (load.in_progress, load.queued) == (1, 2)
