--- a/chicorycart/flows/openings.py
+++ b/chicorycart/flows/openings.py
@@ -13,16 +13,19 @@
     Attributes
     ----------
     agent : int or None
-        Packed address of the agent it was placed at; None if another
-        agent only asked for its owner.
+        Packed address of the agent it was placed at, if it was placed.
+    askers : dict of int to int
+        Packed addresses of agents that asked for its owner, with the number
+        of the question; one of them may have accepted it since.
     expiry : float
         When this is forgotten.
     """
 
-    __slots__ = ("agent", "expiry")
+    __slots__ = ("agent", "askers", "expiry")
 
     def __init__(self, agent: int | None, expiry: float):
         self.agent = agent
+        self.askers: dict[int, int] = {}
         self.expiry = expiry
 
 
@@ -61,12 +64,25 @@
         opening = self.find(flow)
         return opening.agent if opening else None
 
-    def note_query(self, flow: bytes) -> None:
+    def note_query(self, flow: bytes, asker: int, number: int) -> None:
         """Remember that another agent may take the flow."""
-        if self.find(flow) is None:
-            self.remember(flow, None)
+        if self.recall(flow) is not None:
+            return
+        opening = self.find(flow)
+        askers = opening.askers if opening else {}
+        self.remember(flow, None)
+        last = askers.get(asker, number)
+        self.openings[flow].askers = {**askers, asker: max(last, number)}
+
+    def list_askers(self, flow: bytes) -> list[int]:
+        """Return the agents that may have taken the flow."""
+        opening = self.find(flow)
+        return sorted(opening.askers) if opening else []
 
-    def is_contended(self, flow: bytes) -> bool:
-        """Tell whether another agent asked for the owner of the flow."""
+    def take_askers(self, flow: bytes) -> dict[int, int]:
+        """Return and forget who asked, with the number of the question."""
         opening = self.find(flow)
-        return opening is not None and opening.agent is None
+        if opening is None or opening.agent is not None:
+            return {}
+        del self.openings[flow]
+        return opening.askers
--- a/chicorycart/packets/forward.py
+++ b/chicorycart/packets/forward.py
@@ -27,7 +27,7 @@
 
     Attributes
     ----------
-    service, position, hops, placed, adopter, returned
+    service, position, hops, placed, unsettled
         As in `Forward`.
     chain : tuple of int
         Packed addresses of the agents to try, in order.
@@ -39,8 +39,7 @@
         "position",
         "hops",
         "placed",
-        "adopter",
-        "returned",
+        "unsettled",
     )
 
     def __init__(
@@ -50,16 +49,14 @@
         position: int,
         hops: int,
         placed: bool,
-        adopter: int,
-        returned: bool,
+        unsettled: bool,
     ):
         self.service = service
         self.chain = chain
         self.position = position
         self.hops = hops
         self.placed = placed
-        self.adopter = adopter
-        self.returned = returned
+        self.unsettled = unsettled
 
 
 class Forward:
@@ -81,10 +78,8 @@
         Whether an earlier agent chose this one for the opening flow.
     packet : bytes
         The whole IPv4 packet.
-    adopter : int
-        Agent that adopts the flow if nobody owns it, 0 if there is none.
-    returned : bool
-        Whether the packet was sent to the adopter.
+    unsettled : bool
+        Whether an agent that had the packet may not know the owner yet.
     """
 
     __slots__ = (
@@ -95,8 +90,7 @@
         "hops",
         "placed",
         "packet",
-        "adopter",
-        "returned",
+        "unsettled",
     )
 
     def __init__(
@@ -108,8 +102,7 @@
         position: int = 0,
         hops: int = 0,
         placed: bool = False,
-        adopter: int = 0,
-        returned: bool = False,
+        unsettled: bool = False,
     ):
         self.version = version
         self.service = service
@@ -118,8 +111,7 @@
         self.position = position
         self.hops = hops
         self.placed = placed
-        self.adopter = adopter
-        self.returned = returned
+        self.unsettled = unsettled
 
 
 def encode_forward(forward: Forward) -> bytes:
@@ -130,8 +122,7 @@
         forward.position,
         forward.hops,
         forward.placed,
-        forward.adopter,
-        forward.returned,
+        forward.unsettled,
     )
     return encode_version(forward.version) + header + forward.packet
 
@@ -148,8 +139,7 @@
     position: int = 0,
     hops: int = 0,
     placed: bool = False,
-    adopter: int = 0,
-    returned: bool = False,
+    unsettled: bool = False,
 ) -> bytes:
     """Return a header in wire form, with its size before it."""
     message = SCHEMA.ForwardHeader.new_message(
@@ -158,8 +148,7 @@
         position=position,
         hops=hops,
         placed=placed,
-        adopter=adopter,
-        returned=returned,
+        unsettled=unsettled,
     )
     header = message.to_bytes()
     return len(header).to_bytes(SIZE_BYTES, "big") + header
@@ -189,8 +178,7 @@
         header.position,
         header.hops,
         header.placed,
-        header.adopter,
-        header.returned,
+        header.unsettled,
     )
 
 
@@ -211,8 +199,7 @@
                 message.position,
                 message.hops,
                 message.placed,
-                message.adopter,
-                message.returned,
+                message.unsettled,
             )
     except (capnp.KjException, ValueError) as error:
         raise PacketError("not a forwarded packet") from error
--- a/chicorycart/packets/messages.capnp
+++ b/chicorycart/packets/messages.capnp
@@ -7,6 +7,5 @@
   position @2 :UInt8;        # index of the agent this copy is sent to
   hops @3 :UInt8;            # times the packet has been sent
   placed @4 :Bool;           # an earlier agent chose this one for the flow
-  adopter @5 :UInt64;        # agent that adopts the flow if nobody owns it
-  returned @6 :Bool;         # nobody owned the flow; this is its adopter
+  unsettled @5 :Bool;        # an agent on the way may not know the owner yet
 }
