--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -9,6 +9,7 @@
 
 from prometheus_client import CollectorRegistry
 
+from chicorycart.address import Address
 from chicorycart.address import pack_address
 from chicorycart.agent.acceptance import TargetAcceptance
 from chicorycart.agent.host import DecapsulatingHost
@@ -31,6 +32,7 @@
 from chicorycart.defaults import START_SERVICE_SECONDS
 from chicorycart.flows.mates import ServiceMates
 from chicorycart.links.datagrams import DatagramLink
+from chicorycart.links.peers import PeerLinks
 from chicorycart.links.sockets import DatagramSocket
 from chicorycart.membership.follow import InstanceFollower
 from chicorycart.membership.incarnation import Incarnation
@@ -44,6 +46,8 @@
 from chicorycart.requests.server import RequestServer
 from chicorycart.settings.model import AgentSettings
 
+ANY_PORT = 0
+
 
 class Agent:
     """An agent and its parts.
@@ -63,13 +67,29 @@
         self.sources = KnownSources(clock)
         self.store.subscribe(self.sources)
         self.data_socket = DatagramSocket(daemon.data)
-        self.link = DatagramLink(self.data_socket, self.sources, self.registry)
+        self.link = PeerLinks(
+            DatagramLink(self.data_socket, self.sources, self.registry),
+            lambda: DatagramSocket(Address(daemon.data.host, ANY_PORT)),
+        )
+        self.membership = AgentMembership(
+            settings,
+            clock,
+            self.store,
+            self.link,
+            Incarnation(time()),
+            PauseDetector(clock),
+            Random(),
+        )
         self.acceptance = TargetAcceptance(
             self.store, settings.service, settings.target
         )
         self.ownership = FlowOwnership(
             ServiceMates(
-                self.store, settings.service, pack_address(daemon.data), clock
+                self.store,
+                settings.service,
+                pack_address(daemon.data),
+                clock,
+                self.membership.mates,
             ),
             DecapsulatingHost(self.data_socket, settings.decapsulation),
             KernelConnections(),
@@ -83,20 +103,13 @@
         )
         for kind, receiver in self.ownership.list_receivers().items():
             self.link.register(kind, receiver)
-        self.membership = AgentMembership(
-            settings,
-            clock,
-            self.store,
+        self.membership.use_load(
             FlowLoad(
                 self.ownership.table,
                 self.store,
                 settings.service,
                 settings.target,
-            ),
-            self.link,
-            Incarnation(time()),
-            PauseDetector(clock),
-            Random(),
+            )
         )
         self.platform = PlatformClient(
             HttpValues(daemon.platform),
@@ -156,15 +169,15 @@
             "target": self.settings.target,
             "ready": self.is_ready(),
             "version": self.store.current.version,
+            "mates": {
+                str(mate): mate.state
+                for mate in self.membership.mates.mates.values()
+            },
             "flows": flows,
             "closing": len(table) - flows,
             "requests": self.requests.gateway.in_progress
             if self.requests is not None
             else 0,
-            "mates": {
-                str(mate): mate.state
-                for mate in self.membership.mates.mates.values()
-            },
         }
 
     async def run(self, stop: Event) -> None:
@@ -176,11 +189,11 @@
             self.requests.listen(self.settings.gateway)
         tasks = [
             create_task(self.instances.run()),
-            self.membership.start(),
+            *self.membership.start(),
             create_task(self.reader.watch_forever()),
             create_task(self.ownership.run()),
         ]
-        self.data_socket.start(self.link)
+        self.data_socket.start(self.link.main)
         await stop.wait()
         self.stopping = True
         if self.requests is not None:
@@ -189,4 +202,5 @@
             task.cancel()
         for server in servers:
             server.stop()
+        self.link.close()
         self.data_socket.close()
--- a/chicorycart/balancer/membership.py
+++ b/chicorycart/balancer/membership.py
@@ -10,10 +10,13 @@
 from chicorycart.clock import Clock
 from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.store import ConfigurationStore
-from chicorycart.defaults import GOSSIP_BURST_BYTES
-from chicorycart.defaults import GOSSIP_BYTES_PER_SECOND
+from chicorycart.defaults import PROBE_BURST_BYTES
+from chicorycart.defaults import PROBE_BYTES_PER_SECOND
+from chicorycart.defaults import SUSPICION_BURST_BYTES
+from chicorycart.defaults import SUSPICION_BYTES_PER_SECOND
 from chicorycart.links.datagrams import MessageKind
-from chicorycart.links.datagrams import MessageLink
+from chicorycart.links.peers import PeerLinks
+from chicorycart.membership.domains import DomainWatch
 from chicorycart.membership.evidence import Evidence
 from chicorycart.membership.gossip import Gossip
 from chicorycart.membership.heartbeats import NoLoad
@@ -21,9 +24,11 @@
 from chicorycart.membership.incarnation import Incarnation
 from chicorycart.membership.instances import Balancers
 from chicorycart.membership.messages import NO_SERVICE
+from chicorycart.membership.paths import PathProber
 from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.peers import FlatPeers
 from chicorycart.membership.suspicions import SuspicionBook
+from chicorycart.membership.suspicions import SuspicionSubscriber
 from chicorycart.settings.model import DaemonSettings
 
 
@@ -38,8 +43,8 @@
         Measures leases.
     store : ConfigurationStore
         Tells the configuration version in force.
-    link : MessageLink
-        Carries the messages.
+    link : PeerLinks
+        Carries the messages, from other ports if need be.
     incarnation : Incarnation
         Of the own process.
     detector : PauseDetector
@@ -52,19 +57,29 @@
     Attributes
     ----------
     suspicions : SuspicionBook
-        The suspected agents.
+        The suspected agents, one by one.
+    domains : DomainWatch
+        These, and the agents of suspected failure domains.
     balancers : Balancers
         To be told of each instance list.
     """
 
-    __slots__ = ("suspicions", "balancers", "detector", "random", "gossip")
+    __slots__ = (
+        "suspicions",
+        "balancers",
+        "detector",
+        "random",
+        "gossip",
+        "prober",
+        "domains",
+    )
 
     def __init__(
         self,
         daemon: DaemonSettings,
         clock: Clock,
         store: ConfigurationStore,
-        link: MessageLink,
+        link: PeerLinks,
         incarnation: Incarnation,
         detector: PauseDetector,
         random: Random,
@@ -76,9 +91,10 @@
         self.balancers = Balancers(daemon.domain)
         self.detector = detector
         self.random = random
-        evidence = Evidence(clock, self.suspicions, own, link)
+        probes = TokenBucket(clock, PROBE_BYTES_PER_SECOND, PROBE_BURST_BYTES)
+        evidence = Evidence(clock, self.suspicions, own, link, probes)
         bucket = TokenBucket(
-            clock, GOSSIP_BYTES_PER_SECOND, GOSSIP_BURST_BYTES
+            clock, SUSPICION_BYTES_PER_SECOND, SUSPICION_BURST_BYTES
         )
         self.gossip = Gossip(
             sender,
@@ -89,9 +105,24 @@
             bucket,
             registry,
         )
+        self.prober = PathProber(self.suspicions, own, link, link)
+        evidence.subscribe(self.prober)
+        self.domains = DomainWatch(
+            clock, self.suspicions, own, link, probes, random
+        )
+        evidence.subscribe(self.domains)
         link.register(MessageKind.HEARTBEAT, evidence)
         link.register(MessageKind.SUSPICION, self.gossip)
 
-    def start(self) -> Task[None]:
-        """Begin to gossip."""
-        return create_task(self.gossip.run(self.detector, self.random))
+    def subscribe(self, subscriber: SuspicionSubscriber) -> None:
+        """Tell the subscriber whenever the suspicions change."""
+        self.suspicions.subscribe(subscriber)
+        self.domains.subscribe(subscriber)
+
+    def start(self) -> list[Task[None]]:
+        """Begin to gossip and to check the paths to the agents."""
+        return [
+            create_task(self.gossip.run(self.detector, self.random)),
+            create_task(self.prober.run(self.detector)),
+            create_task(self.domains.run(self.detector)),
+        ]
