--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -15,6 +15,7 @@
 from chicorycart.agent.host import DecapsulatingHost
 from chicorycart.agent.kernel import KernelConnections
 from chicorycart.agent.load import FlowLoad
+from chicorycart.agent.load import RequestLoad
 from chicorycart.agent.membership import AgentMembership
 from chicorycart.agent.ownership import FlowOwnership
 from chicorycart.agent.pages import list_pages
@@ -27,6 +28,7 @@
 from chicorycart.configuration.values import HttpValues
 from chicorycart.defaults import READER_CALLS_BURST
 from chicorycart.defaults import READER_CALLS_PER_SECOND
+from chicorycart.defaults import START_SERVICE_SECONDS
 from chicorycart.flows.mates import ServiceMates
 from chicorycart.links.datagrams import DatagramLink
 from chicorycart.links.datagrams import MessageKind
@@ -39,6 +41,7 @@
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.operation.endpoints import serve_endpoints
 from chicorycart.placement.choice import LoadChoice
+from chicorycart.placement.strength import StrengthMeter
 from chicorycart.requests.build import build_gateway
 from chicorycart.requests.server import RequestServer
 from chicorycart.settings.model import AgentSettings
@@ -78,6 +81,12 @@
             detector,
             Random(),
         )
+        self.acceptance = TargetAcceptance(
+            self.store,
+            settings.service,
+            settings.target,
+            LoadChoice(self.membership, self.membership.mates),
+        )
         self.ownership = FlowOwnership(
             ServiceMates(
                 self.store,
@@ -88,12 +97,7 @@
             ),
             DecapsulatingHost(self.data_socket, settings.decapsulation),
             KernelConnections(),
-            TargetAcceptance(
-                self.store,
-                settings.service,
-                settings.target,
-                LoadChoice(self.membership, self.membership.mates),
-            ),
+            self.acceptance,
             self.link,
             time_ns(),
             clock,
@@ -146,7 +150,16 @@
                 Random(),
                 self.registry,
             )
-            self.membership.use_load(gateway)
+            self.membership.use_load(
+                RequestLoad(
+                    gateway,
+                    StrengthMeter(clock, 1, 1 / START_SERVICE_SECONDS),
+                    self.store,
+                    settings.service,
+                    settings.target,
+                    self.membership.mates,
+                )
+            )
             self.requests = RequestServer(gateway)
 
     def is_ready(self) -> bool:
--- a/tests/placement/strength.feature
+++ b/tests/placement/strength.feature
@@ -47,3 +47,12 @@
   Scenario: Without mates the published weight is the strength
     Given no mate was heard
     Then a target of weight 2 is assumed to end 2 works a second
+
+  Scenario: A gateway reports what its slots get done
+    Given an agent with a gateway of 4 slots, whose mates end 18 a second
+    When its clock moves on by 60 s
+    Then it reports a strength of 18
+    When 10 requests hold a slot for 0.2 s
+    Then it reports a strength of 20
+    When its slots become 2
+    Then it reports a strength of 10
