--- a/chicorycart/agent/load.py
+++ b/chicorycart/agent/load.py
@@ -38,6 +38,7 @@
         """Return the load at this moment."""
         service = self.store.current.services.get(self.service)
         target = service.find_target(self.target) if service else None
+        flows = self.table.count_open()
         if target is None:
-            return Load(len(self.table), 0, DEFAULT_STRENGTH, False)
-        return Load(len(self.table), 0, target.weight, target.takes_new_work)
+            return Load(flows, 0, DEFAULT_STRENGTH, False)
+        return Load(flows, 0, target.weight, target.takes_new_work)
