--- a/chicorycart/membership/instances.py
+++ b/chicorycart/membership/instances.py
@@ -2,6 +2,8 @@
 
 from enum import StrEnum
 from heapq import nlargest
+from socket import AF_INET
+from socket import inet_pton
 from sys import intern
 from typing import Any
 from typing import Protocol
@@ -9,9 +11,7 @@
 from xxhash import xxh64_intdigest
 
 from chicorycart.address import Address
-from chicorycart.address import AddressError
 from chicorycart.address import MAX_PORT
-from chicorycart.address import parse_address
 from chicorycart.membership.errors import InstanceListError
 
 
@@ -106,16 +106,17 @@
         raise InstanceListError(f"{path}: an object is needed")
     host = read_text(path, value, "address")
     try:
+        inet_pton(AF_INET, host)
         return Instance(
             read_text(path, value, "name"),
             InstanceRole(read_text(path, value, "role")),
-            parse_address(f"{host}:{read_port(path, value, 'data_port')}"),
-            parse_address(f"{host}:{read_port(path, value, 'control_port')}"),
+            Address(host, read_port(path, value, "data_port")),
+            Address(host, read_port(path, value, "control_port")),
             intern(read_text(path, value, "region")),
             intern(read_text(path, value, "domain")),
             InstanceState(read_text(path, value, "state")),
         )
-    except (AddressError, ValueError) as error:
+    except (OSError, ValueError) as error:
         raise InstanceListError(f"{path}: {error}") from error
 
 
@@ -130,7 +131,7 @@
 def read_port(path: str, value: dict[str, Any], key: str) -> int:
     """Return a port that must be there."""
     port = value.get(key)
-    if not isinstance(port, int) or not 0 < port <= MAX_PORT:
+    if type(port) is not int or not 0 < port <= MAX_PORT:
         raise InstanceListError(f"{path}.{key}: a port is needed")
     return port
 
