--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -3,7 +3,7 @@
 BUCKETS_PER_SERVICE = 4096
 """Buckets that the flows of one service are hashed into."""
 
-CURRENT_CANDIDATES = 2
+CURRENT_CANDIDATES = 4
 """Targets of the version in force that may accept an opening flow."""
 
 CHOICE_HYSTERESIS = 0.1
@@ -12,14 +12,17 @@
 SENT_FLOW_WEIGHT = 2
 """Flows that each flow passed on since a heartbeat counts for."""
 
-MAX_CHAIN_LENGTH = 6
+MAX_CHOICE_HOPS = 2
+"""Hops after which a placed flow is no longer moved because of load."""
+
+MAX_CHAIN_LENGTH = 8
 """Targets that one packet may be passed along."""
 
-MAX_HOPS = 12
+MAX_HOPS = 14
 """Times that one packet may be forwarded before it is dropped."""
 
 CHAIN_CACHE_ENTRIES = 65_536
-"""Chains a balancer keeps ready; the least recently used go first."""
+"""Chains a balancer keeps ready; least recently used services go first."""
 
 VERSION_HISTORY = 4
 """Replaced versions whose candidates still stand in a chain."""
@@ -128,6 +131,7 @@
 
 MAX_PENDING_OPENINGS = 4_096
 """Opening packets of one agent that wait for claims."""
+
 STRENGTH_WINDOW_SECONDS = 10.0
 """Time between two changes of a target's measured strength."""
 
@@ -148,6 +152,7 @@
 
 SLOW_START_INITIAL_SHARE = 0.1
 """Share of its strength that a new target reports at its start."""
+
 HEARTBEAT_SECONDS = 1.0
 """Mean time between two heartbeats to the same mate."""
 
@@ -219,11 +224,13 @@
 
 DATAGRAM_HEADER_BYTES = 28
 """Bytes of the IPv4 and UDP headers of a datagram."""
+
 TOOL_TIMEOUT_SECONDS = 5.0
 """Time the command-line tool gives one daemon to answer."""
 
 DRAIN_POLL_SECONDS = 1.0
 """Time between two looks at a target whose drain is followed."""
+
 SKEWED_READ_TRIES = 3
 """Times that an index is read anew before a skewed read has failed."""
 
@@ -286,6 +293,7 @@
 
 DELTA_HISTORY = 1_024
 """Versions back to which a delta can be made."""
+
 REPLAY_BODY_BYTES = 65_536
 """Beginning of a request body that is kept to send it again."""
 
@@ -364,6 +372,12 @@
 STOP_IDLE_SECONDS = 3.0
 """Quiet time after which a stopping gateway closes idle connections."""
 
+FORWARD_HEADER_CACHE_ENTRIES = 4_096
+"""Headers of forwarded packets that a process keeps ready, each way."""
+
+MAX_FORWARD_HEADER_BYTES = 1_024
+"""Size above which the header of a forwarded packet is refused."""
+
 MAX_MOVED_PEERS = 64
 """Peers to which a process sends from another port than the published."""
 
@@ -384,6 +398,7 @@
 
 KEEPALIVE_TIMEOUT_SECONDS = 7.0
 """Silence after which a connection is closed."""
+
 ADOPTION_SECONDS = 7_200.0
 """Time after a start in which flows that nobody owns are adopted."""
 
@@ -399,6 +414,9 @@
 DOMAIN_CHECK_SECONDS = 1.0
 """Time between two probes of a failure domain that is checked."""
 
+PACKED_ADDRESS_CACHE_ENTRIES = 4_096
+"""Unpacked addresses that a process keeps ready."""
+
 DOMAIN_RECHECK_SECONDS = 5.0
 """Time between two probes of a failure domain that is suspected."""
 
