--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -19,17 +19,17 @@
 from chicorycart.agent.ownership import FlowOwnership
 from chicorycart.agent.pages import list_pages
 from chicorycart.clock import LoopClock
-from chicorycart.configuration.backoff import Backoff
-from chicorycart.configuration.follow import PlatformReader
-from chicorycart.configuration.metrics import ConfigurationMetrics
 from chicorycart.configuration.pace import TokenBucket
+from chicorycart.configuration.peers import PeerTable
 from chicorycart.configuration.platform import PlatformClient
+from chicorycart.configuration.service_follower import ServiceFollower
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.configuration.values import HttpValues
 from chicorycart.defaults import READER_CALLS_BURST
 from chicorycart.defaults import READER_CALLS_PER_SECOND
 from chicorycart.flows.mates import ServiceMates
 from chicorycart.links.datagrams import DatagramLink
+from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.peers import PeerLinks
 from chicorycart.links.sockets import DatagramSocket
 from chicorycart.membership.follow import InstanceFollower
@@ -38,6 +38,7 @@
 from chicorycart.membership.sources import KnownSources
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.operation.endpoints import serve_endpoints
+from chicorycart.placement.choice import LoadChoice
 from chicorycart.requests.build import build_gateway
 from chicorycart.requests.server import RequestServer
 from chicorycart.settings.model import AgentSettings
@@ -67,13 +68,14 @@
             DatagramLink(self.data_socket, self.sources, self.registry),
             lambda: DatagramSocket(Address(daemon.data.host, ANY_PORT)),
         )
+        detector = PauseDetector(clock)
         self.membership = AgentMembership(
             settings,
             clock,
             self.store,
             self.link,
             Incarnation(time()),
-            PauseDetector(clock),
+            detector,
             Random(),
         )
         self.ownership = FlowOwnership(
@@ -86,7 +88,12 @@
             ),
             DecapsulatingHost(self.data_socket, settings.decapsulation),
             KernelConnections(),
-            TargetAcceptance(self.store, settings.service, settings.target),
+            TargetAcceptance(
+                self.store,
+                settings.service,
+                settings.target,
+                LoadChoice(self.membership, self.membership.mates),
+            ),
             self.link,
             time_ns(),
             clock,
@@ -108,17 +115,24 @@
             HttpValues(daemon.platform),
             TokenBucket(clock, READER_CALLS_PER_SECOND, READER_CALLS_BURST),
         )
-        self.reader = PlatformReader(
-            self.platform,
+        peers = PeerTable(daemon.name, daemon.domain, clock)
+        self.versions = ServiceFollower(
+            settings.service,
             self.store,
-            self.store.put_in_force,
-            Backoff(Random()),
-            ConfigurationMetrics(self.registry),
+            self.platform,
+            self.link,
+            peers,
+            Random(),
+            clock,
+            self.registry,
         )
+        self.link.register(MessageKind.SERVICE_UPDATE, self.versions)
+        detector.subscribe(self.versions)
         self.instances = InstanceFollower(
             self.platform, Random(), self.registry
         )
         self.instances.subscribe(self.sources)
+        self.instances.subscribe(peers)
         self.instances.subscribe(self.membership.balancers)
         self.stopping = False
         self.requests: RequestServer | None = None
@@ -136,8 +150,8 @@
             self.requests = RequestServer(gateway)
 
     def is_ready(self) -> bool:
-        """Tell whether a configuration is in force and no stop began."""
-        return self.store.current.version > 0 and not self.stopping
+        """Tell whether the highest version is in force and no stop began."""
+        return self.versions.is_serving and not self.stopping
 
     def describe_status(self) -> dict[str, Any]:
         """Return name, role, version in force and owned flows."""
@@ -171,7 +185,7 @@
         tasks = [
             create_task(self.instances.run()),
             *self.membership.start(),
-            create_task(self.reader.watch_forever()),
+            create_task(self.versions.run()),
             create_task(self.ownership.run()),
         ]
         self.data_socket.start(self.link.main)
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -273,10 +273,10 @@
 DIGEST_SECONDS = 1.0
 """Time between two exchanges of versions with a peer."""
 
-GOSSIP_BYTES_PER_SECOND = 1_500.0
+VERSION_BYTES_PER_SECOND = 1_500.0
 """Bytes that one process sends for the configuration, on average."""
 
-GOSSIP_BYTES_BURST = 60_000.0
+VERSION_BYTES_BURST = 60_000.0
 """Bytes that one process may send at once for the configuration."""
 
 FETCH_TRIES = 4
@@ -294,6 +294,42 @@
 DELTA_HISTORY = 1_024
 """Versions back to which a delta can be made."""
 
+MAX_DELTA_BYTES = 33_554_432
+"""Largest delta that is taken, once decompressed."""
+
+PEER_KEEP_SECONDS = 120.0
+"""Time for which a peer that the list leaves out stays after a datagram."""
+
+MAX_KEPT_PEERS = 256
+"""Peers that are kept although the list leaves them out."""
+
+FETCHES_PER_SECOND = 0.5
+"""Reads of one process from its peers, on average."""
+
+FETCHES_BURST = 8.0
+"""Reads that one process may make from its peers at once."""
+
+PARSE_BATCH = 16
+"""Services that are parsed before other work gets its turn."""
+
+MAX_PUSHED_SERVICES = 16
+"""Services up to which a delta is tried for a push."""
+
+MAX_ENCODED_RUMOURS = 64
+"""Rumours of the version in force that are kept encoded."""
+
+READER_CHECK_SECONDS = 1.0
+"""Time between two looks at whether the own process is a reader."""
+
+SNAPSHOT_BYTES_PER_SECOND = 1_000.0
+"""Bytes of deltas that one process hands out to peers, on average."""
+
+SNAPSHOT_BYTES_BURST = 2_000_000.0
+"""Bytes of deltas that one process may hand out at once."""
+
+START_ANSWER_SECONDS = 2.0
+"""Time that a peer has to tell its version to a starting process."""
+
 REPLAY_BODY_BYTES = 65_536
 """Beginning of a request body that is kept to send it again."""
 
@@ -372,6 +408,30 @@
 STOP_IDLE_SECONDS = 3.0
 """Quiet time after which a stopping gateway closes idle connections."""
 
+PLATFORM_SHARDS = 64
+"""Shards that the platform lists the services in."""
+
+SUBSCRIPTIONS_PER_AGENT = 2
+"""Balancers that an agent learns versions from."""
+
+SUBSCRIBE_SECONDS = 4.0
+"""Time between two renewals of an agent's subscription."""
+
+SUBSCRIPTION_LEASE_SECONDS = 15.0
+"""Time for which a balancer tells an agent that does not renew."""
+
+SUBSCRIPTION_SILENCE_SECONDS = 13.0
+"""Silence after which an agent takes another balancer."""
+
+MAX_SUBSCRIPTIONS = 4_096
+"""Agents that one balancer tells of changes."""
+
+NOTICES_PER_SECOND = 2.0
+"""Renewals of an agent that follow versions seen in packets."""
+
+SUBSCRIPTION_RETRY_SECONDS = 120.0
+"""Time after which an agent tries a silent balancer again."""
+
 FORWARD_HEADER_CACHE_ENTRIES = 4_096
 """Headers of forwarded packets that a process keeps ready, each way."""
 
