--- a/chicorycart/agent/acceptance.py
+++ b/chicorycart/agent/acceptance.py
@@ -16,9 +16,14 @@
         The target that the agent stands beside, and its service.
     choice : LoadChoice or None
         Compares loads; without one the target keeps what it is offered.
+
+    Attributes
+    ----------
+    is_stopping : bool
+        Whether the agent stops, so that its target takes no new work.
     """
 
-    __slots__ = ("store", "service", "target", "choice")
+    __slots__ = ("store", "service", "target", "choice", "is_stopping")
 
     def __init__(
         self,
@@ -31,9 +36,12 @@
         self.service = service
         self.target = target
         self.choice = choice
+        self.is_stopping = False
 
     def accepts(self, forward: Forward) -> bool:
-        """Tell whether the configuration lets the target take new work."""
+        """Tell whether the target takes new work."""
+        if self.is_stopping:
+            return False
         service = self.store.current.services.get(self.service)
         target = service.find_target(self.target) if service else None
         return target is not None and target.takes_new_work
--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task
 from asyncio import Event
+from asyncio import gather
 from random import Random
 from time import time
 from time import time_ns
@@ -35,11 +36,13 @@
 from chicorycart.links.peers import PeerLinks
 from chicorycart.links.sockets import DatagramSocket
 from chicorycart.membership.follow import InstanceFollower
+from chicorycart.membership.heartbeats import NoLoad
 from chicorycart.membership.incarnation import Incarnation
 from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.sources import KnownSources
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.operation.endpoints import serve_endpoints
+from chicorycart.operation.stopping import wait_until
 from chicorycart.placement.choice import LoadChoice
 from chicorycart.placement.strength import StrengthMeter
 from chicorycart.requests.build import build_gateway
@@ -203,12 +206,29 @@
         ]
         self.data_socket.start(self.link.main)
         await stop.wait()
-        self.stopping = True
-        if self.requests is not None:
-            await self.requests.stop(self.settings.stop_seconds)
+        await self.finish_work()
         for task in tasks:
             task.cancel()
         for server in servers:
             server.stop()
         self.link.close()
         self.data_socket.close()
+
+    async def finish_work(self) -> None:
+        """Take no new work and let all that was begun end.
+
+        The packets of a flow are needed for as long as its answer is under
+        way, so the flows are waited for after the requests.
+        """
+        self.stopping = True
+        self.acceptance.is_stopping = True
+        self.membership.use_load(NoLoad())
+        seconds = self.settings.stop_seconds
+        ending = [wait_until(self.is_without_flows, seconds)]
+        if self.requests is not None:
+            ending.append(self.requests.stop(seconds))
+        await gather(*ending)
+
+    def is_without_flows(self) -> bool:
+        """Tell whether every owned flow was closed by its caller."""
+        return self.ownership.table.count_open() == 0
--- a/chicorycart/agent/opening.py
+++ b/chicorycart/agent/opening.py
@@ -201,7 +201,8 @@
         The other agent may have placed it by an old load, so it can go on
         once more, but never back.
         """
-        if not self.mates.is_active(self.mates.own):
+        is_active = self.mates.is_active(self.mates.own)
+        if not is_active or not self.accepts(forward):
             self.decide(forward, packet)
         elif forward.hops > MAX_CHOICE_HOPS:
             self.accept(forward, packet, "placed here")
--- a/chicorycart/balancer/daemon.py
+++ b/chicorycart/balancer/daemon.py
@@ -13,6 +13,7 @@
 from chicorycart.balancer.forwarding import ChainCache
 from chicorycart.balancer.forwarding import Forwarder
 from chicorycart.balancer.membership import BalancerMembership
+from chicorycart.balancer.quiet import QuietWatch
 from chicorycart.clock import LoopClock
 from chicorycart.configuration.exchange import VersionExchange
 from chicorycart.configuration.pace import TokenBucket
@@ -33,6 +34,7 @@
 from chicorycart.membership.sources import KnownSources
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.operation.endpoints import serve_endpoints
+from chicorycart.operation.stopping import wait_until
 from chicorycart.settings.model import BalancerSettings
 
 ANY_PORT = 0
@@ -141,7 +143,7 @@
         ]
         self.data_socket.start(self.link.main)
         await stop.wait()
-        self.stopping = True
+        await self.finish_work()
         for task in tasks:
             task.cancel()
         self.fabric_socket.close()
@@ -153,3 +155,9 @@
         """Take callers' packets once the highest version is in force."""
         await self.versions.gate.opened.wait()
         self.fabric_socket.start(self.forwarder)
+
+    async def finish_work(self) -> None:
+        """Go on forwarding until the fabric sends no more."""
+        self.stopping = True
+        quiet = QuietWatch(LoopClock(), self.fabric_socket)
+        await wait_until(quiet.is_quiet, self.settings.stop_seconds)
--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -482,3 +482,9 @@
 
 DOMAIN_DRAWN_AGENTS = 64
 """Agents of a domain among which one is chosen for a probe."""
+
+STOP_POLL_SECONDS = 0.2
+"""Time between two looks at what a stopping daemon still works on."""
+
+FABRIC_QUIET_SECONDS = 2.0
+"""Silence of the fabric after which a stopping balancer ends."""
--- a/chicorycart/links/sockets.py
+++ b/chicorycart/links/sockets.py
@@ -31,13 +31,18 @@
     address : Address
         Where to bind; port 0 lets the kernel choose.
 
+    Attributes
+    ----------
+    received : int
+        Datagrams read so far.
+
     Raises
     ------
     LinkError
         If the address cannot be bound.
     """
 
-    __slots__ = ("socket", "address", "taker")
+    __slots__ = ("socket", "address", "taker", "received")
 
     def __init__(self, address: Address):
         self.socket = socket(AF_INET, SOCK_DGRAM)
@@ -51,6 +56,7 @@
                 f"cannot bind {address}: {error.strerror}"
             ) from error
         self.address = Address(*self.socket.getsockname())
+        self.received = 0
 
     def start(self, taker: Taker) -> None:
         """Hand every datagram to the taker, on the running loop."""
@@ -74,6 +80,7 @@
             except OSError:
                 # A peer's port was closed; the kernel reports it here.
                 continue
+            self.received += 1
             self.taker.take(data, Address(*source))
 
     def send(self, data: bytes, destination: Address) -> bool:
--- a/chicorycart/settings/load.py
+++ b/chicorycart/settings/load.py
@@ -40,7 +40,9 @@
     """
     value = read_settings(path, BALANCER_SCHEMA)
     return BalancerSettings(
-        build_daemon_settings(value), parse_address(value["fabric"])
+        build_daemon_settings(value),
+        parse_address(value["fabric"]),
+        value.get("stop_seconds"),
     )
 
 
--- a/chicorycart/settings/model.py
+++ b/chicorycart/settings/model.py
@@ -86,13 +86,22 @@
         What every daemon is told.
     fabric : Address
         Where the fabric sends callers' packets, IP in UDP.
+    stop_seconds : float or None
+        Longest time that a stop waits for the fabric to send no more; None
+        sets no bound.
     """
 
-    __slots__ = ("daemon", "fabric")
+    __slots__ = ("daemon", "fabric", "stop_seconds")
 
-    def __init__(self, daemon: DaemonSettings, fabric: Address):
+    def __init__(
+        self,
+        daemon: DaemonSettings,
+        fabric: Address,
+        stop_seconds: float | None = None,
+    ):
         self.daemon = daemon
         self.fabric = fabric
+        self.stop_seconds = stop_seconds
 
 
 class AgentSettings:
@@ -113,7 +122,8 @@
     deadline_seconds : float
         Time until an answer must begin, unless a caller asks for less.
     stop_seconds : float or None
-        Longest time that a stop waits for requests; None sets no bound.
+        Longest time that a stop waits for requests and flows; None sets
+        no bound.
     """
 
     __slots__ = (
--- a/tests/docs/names.feature
+++ b/tests/docs/names.feature
@@ -14,3 +14,9 @@
 
   Scenario: Every page that is linked exists
     Then each relative link between the pages leads to a file
+
+  Scenario: Every scenario that the proofs name exists
+    Then each scenario named in "proofs.md" stands in a feature
+
+  Scenario: Every name that the pages import exists
+    Then each import in the Python code of the pages works
--- a/tests/docs/names_steps.py
+++ b/tests/docs/names_steps.py
@@ -1,5 +1,6 @@
 """Steps that compare the docs with the program."""
 
+from importlib import import_module
 from importlib.util import find_spec
 from json import loads
 import re
@@ -16,6 +17,9 @@
 )
 COMMAND = re.compile(r"\b(chicorycartd?|make|python -m) ([a-z][\w.-]*)")
 ROW = re.compile(r"^\| `([\w.\[\]]+)`", re.MULTILINE)
+QUOTED = re.compile(r"`([A-Z][^`]{20,})`")
+SCENARIO = re.compile(r"Scenario(?: Outline)?: (.+)")
+IMPORT = re.compile(r"^from ([\w.]+) import (\w+)$", re.MULTILINE)
 LINK = re.compile(r"\]\(([^)#:]+)\)")
 
 
@@ -92,3 +96,33 @@
         if not (page.parent / link).exists()
     ]
     assert not wrong, wrong
+
+
+@then('each scenario named in "{page}" stands in a feature')
+def check_scenarios(context, page):
+    features = ROOT.glob("tests/*/*.feature")
+    known = {
+        name.strip()
+        for feature in features
+        for name in SCENARIO.findall(feature.read_text())
+    }
+    named = QUOTED.findall((ROOT / "docs" / page).read_text())
+    assert named
+    wrong = [name for name in named if name not in known]
+    assert not wrong, wrong
+
+
+@then("each import in the Python code of the pages works")
+def check_imports(context):
+    imports = [
+        (module, name)
+        for page in PAGES
+        for module, name in IMPORT.findall(page.read_text())
+    ]
+    assert imports
+    wrong = [
+        f"{module}.{name}"
+        for module, name in imports
+        if not hasattr(import_module(module), name)
+    ]
+    assert not wrong, wrong
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -218,6 +218,10 @@
             return False
         return True
 
+    async def is_unready(self, name: str) -> bool:
+        """Ask a daemon whether it takes no new work."""
+        return not await self.is_ready(name)
+
     async def read_status(self, name: str) -> str:
         """Return the status of a daemon as JSON text."""
         url = f"http://{self.controls[name]}/status"
@@ -242,8 +246,18 @@
         await self.processes.pop(name).wait()
 
     async def stop(self, name: str) -> int:
-        """Ask a daemon to stop; return its exit code."""
+        """Ask a daemon to stop; return its exit code.
+
+        The fabric leaves out a balancer that says it is not ready.
+        """
         self.signal(name, SIGTERM)
+        await self.wait_until(lambda: self.is_unready(name), READY_SECONDS)
+        host = self.controls[name].host
+        self.fabric.balancers = [
+            address
+            for address in self.fabric.balancers
+            if address.host != host
+        ]
         return await wait_for(self.processes.pop(name).wait(), STOP_SECONDS)
 
     def change_target(self, service: str, name: str, **changes: Any) -> int:
--- a/tests/system/path_steps.py
+++ b/tests/system/path_steps.py
@@ -31,15 +31,20 @@
     return sum(len(f"{number}\n") for number in range(lines))
 
 
-@given("both small services behind {balancers:d} balancers")
-def start_world(context, balancers):
-    network = Network()
-    context.world = World(network, plan_small(network))
+def run_world(context, network, plans, balancers):
+    """Start a world that ends with the scenario."""
+    context.world = World(network, plans)
     context.cleanups.callback(lambda: context.run(context.world.close()))
     context.run(context.world.start(balancers))
     context.answers = []
 
 
+@given("both small services behind {balancers:d} balancers")
+def start_world(context, balancers):
+    network = Network()
+    run_world(context, network, plan_small(network), balancers)
+
+
 @given("the fabric loses {loss:d} % and reorders {late:d} % of the packets")
 def make_fabric_bad(context, loss, late):
     context.world.fabric.loss = loss / 100
