--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -1,7 +1,7 @@
 """Stands in for the platform's configuration service."""
 
 from asyncio import Event
-from asyncio import wait_for
+from asyncio import timeout
 from json import dumps
 from json import loads
 from typing import Any
@@ -155,7 +155,9 @@
         if loads(body)["version"] > after:
             return body
         try:
-            await wait_for(self.platform.changed.wait(), WATCH_SECONDS)
+            # wait_for of Python 3.11 may lose a cancellation.
+            async with timeout(WATCH_SECONDS):
+                await self.platform.changed.wait()
         except TimeoutError:
             return None
         return await self.read(key)
@@ -175,7 +177,8 @@
         value = self.platform.read(key)
         while key == "index" and value["version"] <= after:
             try:
-                await wait_for(self.platform.changed.wait(), WATCH_SECONDS)
+                async with timeout(WATCH_SECONDS):
+                    await self.platform.changed.wait()
             except TimeoutError:
                 self.set_status(NO_CHANGE)
                 return
