--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -329,6 +329,7 @@
 
 START_ANSWER_SECONDS = 2.0
 """Time that a peer has to tell its version to a starting process."""
+
 REPLAY_BODY_BYTES = 65_536
 """Beginning of a request body that is kept to send it again."""
 
@@ -430,8 +431,6 @@
 
 SUBSCRIPTION_RETRY_SECONDS = 120.0
 """Time after which an agent tries a silent balancer again."""
-MAX_SEARCH_LENGTH = 12
-"""Agents that one packet may be offered to while its owner is sought."""
 
 FORWARD_HEADER_CACHE_ENTRIES = 4_096
 """Headers of forwarded packets that a process keeps ready, each way."""
--- a/tests/flows/openings_steps.py
+++ b/tests/flows/openings_steps.py
@@ -103,12 +103,39 @@
         caller.loses_answers = False
 
 
-@when("balancer 1 and agents 1 and 2 are cut off from the others")
+@when(
+    "every answer is lost, and the callers are silent for {seconds:d} seconds"
+)
+def silence_callers(context, seconds):
+    for caller in context.feeds:
+        caller.loses_answers = True
+    context.run(sleep(LOST_SECONDS))
+    for caller in context.feeds:
+        caller.is_silent = True
+    context.silent_seconds = seconds
+
+
+@when("target {number:d} joins meanwhile")
+def join_meanwhile(context, number):
+    fleet = context.fleet
+    fleet.states[number] = TargetState.ACTIVE
+    in_loop(context, fleet.publish)
+    in_loop(context, fleet.start_agent, number)
+    in_loop(context, fleet.put_in_force)
+    for _ in range(context.silent_seconds // LOST_SECONDS):
+        context.run(sleep(LOST_SECONDS))
+        for caller in context.feeds:
+            caller.connection.resends = 0
+    for caller in context.feeds:
+        caller.loses_answers = False
+        caller.is_silent = False
+
+
+@when("balancer 1 and agents 1 to 4 are cut off from the others")
 def cut(context):
     fleet = context.fleet
-    context.side = [
-        fleet.balancers["b-1"], fleet.agents[1], fleet.agents[2]
-    ]  # fmt: skip
+    agents = [fleet.agents[number] for number in range(1, 5)]
+    context.side = [fleet.balancers["b-1"], *agents]
     for node in context.side:
         fleet.wire.sides[node.address] = 1
 
@@ -137,6 +164,17 @@
     context.run(ask())
 
 
+@when("the callers send requests whose first answers are lost")
+def ask_with_losses(context):
+    for caller in context.feeds:
+        caller.loses_answers = True
+        in_loop(context, caller.ask)
+    context.run(sleep(LOST_SECONDS))
+    for caller in context.feeds:
+        caller.loses_answers = False
+    context.run(sleep(ANSWER_SECONDS))
+
+
 @then("every connection lies on one host and answers")
 def check_connections(context):
     ask_all(context)
