Measure the strength of a target in one place

RequestLoad and the gateway each fed a StrengthMeter after both branches were merged; the gateway now tells its plain rate and RequestLoad the strength.

--- a/chicorycart/requests/build.py
+++ b/chicorycart/requests/build.py
@@ -7,12 +7,10 @@
 
 from chicorycart.clock import Clock
 from chicorycart.configuration.parse import DEFAULT_SLOTS
-from chicorycart.configuration.parse import DEFAULT_WEIGHT
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.defaults import START_SERVICE_SECONDS
 from chicorycart.membership.sources import KnownSources
 from chicorycart.placement.load import MateLoads
-from chicorycart.placement.strength import StrengthMeter
 from chicorycart.requests.budget import RetryBudget
 from chicorycart.requests.gateway import Gateway
 from chicorycart.requests.mates import Mates
@@ -36,7 +34,6 @@
         settings.gateway,
         settings.backend,
         Slots(clock, ServiceTime(START_SERVICE_SECONDS), DEFAULT_SLOTS),
-        StrengthMeter(clock, DEFAULT_SLOTS, DEFAULT_WEIGHT),
         Mates(store, settings.service, settings.target, loads, clock, random),
         RetryBudget(),
         SeenRequests(time),
--- a/chicorycart/requests/gateway.py
+++ b/chicorycart/requests/gateway.py
@@ -25,8 +25,6 @@
 from chicorycart.defaults import TARGET_DOWN_SECONDS
 from chicorycart.membership.sources import KnownSources
 from chicorycart.placement.load import Load
-from chicorycart.placement.strength import initial_strength
-from chicorycart.placement.strength import StrengthMeter
 from chicorycart.requests.body import RequestBody
 from chicorycart.requests.budget import RetryBudget
 from chicorycart.requests.caller import Caller
@@ -82,8 +80,6 @@
         Where the target listens.
     slots : Slots
         Bound and queue of the requests at the target.
-    meter : StrengthMeter
-        Learns the strength that mates are told.
     mates : Mates
         The own target as configured, and the others of the service.
     budget : RetryBudget
@@ -123,7 +119,6 @@
         "address",
         "backend",
         "slots",
-        "meter",
         "mates",
         "budget",
         "seen",
@@ -147,7 +142,6 @@
         address: Address,
         backend: Address,
         slots: Slots,
-        meter: StrengthMeter,
         mates: Mates,
         budget: RetryBudget,
         seen: SeenRequests,
@@ -162,7 +156,6 @@
         self.address = address
         self.backend = backend
         self.slots = slots
-        self.meter = meter
         self.mates = mates
         self.budget = budget
         self.seen = seen
@@ -191,16 +184,10 @@
         self.down_until = 0.0
 
     def change_configuration(self, configuration: Configuration) -> None:
-        """Take slots and weight from the version now in force."""
+        """Take the number of slots from the version now in force."""
         own = self.mates.own
-        if own is None:
-            return
-        self.slots.set_limit(own.slots)
-        self.meter.slots = own.slots
-        if not self.meter.is_measured:
-            self.meter.strength = initial_strength(
-                self.mates.service, own.name, self.mates.loads
-            )
+        if own is not None:
+            self.slots.set_limit(own.slots)
 
     @property
     def takes_new_work(self) -> bool:
@@ -213,7 +200,7 @@
         return Load(
             self.slots.in_progress,
             len(self.slots.waiting),
-            self.meter.current(),
+            self.slots.rate,
             self.takes_new_work,
         )
 
@@ -324,13 +311,7 @@
             is_measured = True
             raise
         finally:
-            self.release(slot, is_measured)
-
-    def release(self, slot: Slot, is_measured: bool) -> None:
-        """Give a slot back, and learn from the time that it was held."""
-        if is_measured and slot.is_working:
-            self.meter.record(self.clock.now() - slot.started)
-        slot.release(is_measured)
+            slot.release(is_measured)
 
     async def run_on_target(
         self, request: Request, caller: Caller, slot: Slot
@@ -440,7 +421,7 @@
             if timer is not None:
                 timer.cancel()
         if slot is not None:
-            self.release(slot, True)
+            slot.release()
         await caller.end()
 
     async def refuse(
