Name the sender in messages on owners, whatever port they come from

Cause: an agent leaves a port whose path has gone silent, and records, questions and answers were told apart by source address and port: after a move every record was refused as another's. Messages now name their agent; only the host must match. A question and an answer take 73 bytes each, 65 before.

--- a/chicorycart/agent/opening.py
+++ b/chicorycart/agent/opening.py
@@ -148,7 +148,8 @@
         """
         if agent is None or not self.mates.can_take(agent):
             return False
-        return not (forward.placed and unpack_address(agent) == source)
+        is_placer = unpack_address(agent).host == source.host
+        return not (forward.placed and is_placer)
 
     def may_decide_alone(self, packet: Packet) -> bool:
         """Tell whether no other agent can have accepted the flow.
--- a/chicorycart/flows/announce.py
+++ b/chicorycart/flows/announce.py
@@ -170,7 +170,7 @@
     def ask_for_records(self) -> None:
         """Ask every mate for its record, since this agent knows none."""
         self.has_asked = bool(self.mates.list_others())
-        body = encode_query(OwnerQuery(self.service, None))
+        body = encode_query(OwnerQuery(self.service, self.mates.own, None))
         for agent in self.mates.list_others():
             self.sender.send(
                 MessageKind.OWNER_QUERY, body, unpack_address(agent)
--- a/chicorycart/flows/claims.py
+++ b/chicorycart/flows/claims.py
@@ -5,8 +5,6 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from chicorycart.address import Address
-from chicorycart.address import pack_address
 from chicorycart.address import unpack_address
 from chicorycart.clock import Clock
 from chicorycart.defaults import CLAIM_TIMEOUT_SECONDS
@@ -130,25 +128,23 @@
         self.pending[flow] = PendingClaim(
             claimant, waiting, self.number, self.clock.now(), timer
         )
-        body = encode_query(OwnerQuery(self.service, flow, self.number))
+        own = self.mates.own
+        query = OwnerQuery(self.service, own, flow, self.number)
+        body = encode_query(query)
         for agent in sorted(waiting):
             self.sender.send(
                 MessageKind.OWNER_QUERY, body, unpack_address(agent)
             )
 
-    def take_query(self, query: OwnerQuery, source: Address) -> None:
+    def take_query(self, query: OwnerQuery) -> None:
         """Answer the question of another agent."""
         flow = query.flow
-        asker = pack_address(source)
-        owner = self.find_owner(flow, asker)
+        owner = self.find_owner(flow, query.asker)
         if owner is None:
-            self.memory.note_query(flow, asker, query.number)
+            self.memory.note_query(flow, query.asker, query.number)
             if self.is_pending(flow):
                 self.close(flow).claimant.give_up("left to another agent")
-        answer = OwnerAnswer(self.service, flow, owner, query.number)
-        self.sender.send(
-            MessageKind.OWNER_ANSWER, encode_answer(answer), source
-        )
+        self.answer(query.asker, flow, owner, query.number)
 
     def announce(self, flow: bytes) -> None:
         """Tell the agents that asked for a flow that it is owned here now.
@@ -157,12 +153,19 @@
         """
         own = self.mates.own
         for asker, number in self.memory.take_askers(flow).items():
-            answer = OwnerAnswer(self.service, flow, own, number)
-            self.sender.send(
-                MessageKind.OWNER_ANSWER,
-                encode_answer(answer),
-                unpack_address(asker),
-            )
+            self.answer(asker, flow, own, number)
+
+    def answer(
+        self, asker: int, flow: bytes, owner: int | None, number: int
+    ) -> None:
+        """Tell an agent who owns a flow."""
+        own = self.mates.own
+        answer = OwnerAnswer(self.service, own, flow, owner, number)
+        self.sender.send(
+            MessageKind.OWNER_ANSWER,
+            encode_answer(answer),
+            unpack_address(asker),
+        )
 
     def find_owner(self, flow: bytes, asker: int) -> int | None:
         """Return the agent that owns the flow, as far as is known here."""
@@ -173,14 +176,13 @@
             return own if own < asker else None
         return self.memory.recall(flow)
 
-    def take_answer(self, answer: OwnerAnswer, source: Address) -> None:
+    def take_answer(self, answer: OwnerAnswer) -> None:
         """Take the answer of another agent to the question asked."""
         pending = self.pending.get(answer.flow)
-        agent = pack_address(source)
         if pending is None or answer.number != pending.number:
             return
         is_claim = self.is_claim(answer.owner)
-        if agent not in pending.waiting and not is_claim:
+        if answer.agent not in pending.waiting and not is_claim:
             return
         if self.is_late(pending):
             self.close(answer.flow).claimant.give_up("asked too long ago")
@@ -189,7 +191,7 @@
             self.close(answer.flow)
             pending.claimant.take_claim(answer.owner)
             return
-        pending.waiting.discard(agent)
+        pending.waiting.discard(answer.agent)
         if not pending.waiting:
             self.close(answer.flow)
             pending.claimant.take_no_claim()
--- a/chicorycart/flows/messages.capnp
+++ b/chicorycart/flows/messages.capnp
@@ -21,6 +21,7 @@
     records @2 :Void;        # send your owner record
   }
   number @3 :UInt64;         # the answer repeats it
+  asker @4 :UInt64;          # agent that asks
 }
 
 struct OwnerAnswer {
@@ -29,4 +30,5 @@
   flow @1 :Data;
   owner @2 :UInt64;          # 0 if the agent knows none
   number @3 :UInt64;         # that of the query
+  agent @4 :UInt64;          # agent that answers
 }
--- a/chicorycart/flows/messages.py
+++ b/chicorycart/flows/messages.py
@@ -73,16 +73,21 @@
     ----------
     service : int
         Identifier of the service.
+    asker : int
+        Packed address of the agent that asks.
     flow : bytes or None
         The flow whose owner is sought; None asks for the owner record.
     number : int
         Tells the questions of one agent on a flow apart.
     """
 
-    __slots__ = ("service", "flow", "number")
+    __slots__ = ("service", "asker", "flow", "number")
 
-    def __init__(self, service: int, flow: bytes | None, number: int = 0):
+    def __init__(
+        self, service: int, asker: int, flow: bytes | None, number: int = 0
+    ):
         self.service = service
+        self.asker = asker
         self.flow = flow
         self.number = number
 
@@ -94,6 +99,8 @@
     ----------
     service : int
         Identifier of the service.
+    agent : int
+        Packed address of the agent that answers.
     flow : bytes
         The flow that was asked about.
     owner : int or None
@@ -102,12 +109,18 @@
         Number of the query.
     """
 
-    __slots__ = ("service", "flow", "owner", "number")
+    __slots__ = ("service", "agent", "flow", "owner", "number")
 
     def __init__(
-        self, service: int, flow: bytes, owner: int | None, number: int
+        self,
+        service: int,
+        agent: int,
+        flow: bytes,
+        owner: int | None,
+        number: int,
     ):
         self.service = service
+        self.agent = agent
         self.flow = flow
         self.owner = owner
         self.number = number
@@ -167,7 +180,7 @@
 def encode_query(query: OwnerQuery) -> bytes:
     """Return the query in wire form."""
     message = SCHEMA.OwnerQuery.new_message(
-        service=query.service, number=query.number
+        service=query.service, number=query.number, asker=query.asker
     )
     if query.flow is None:
         message.records = None
@@ -188,7 +201,9 @@
         with SCHEMA.OwnerQuery.from_bytes(body) as message:
             is_flow = message.which() == "flow"
             flow = read_flow(message.flow) if is_flow else None
-            return OwnerQuery(message.service, flow, message.number)
+            return OwnerQuery(
+                message.service, message.asker, flow, message.number
+            )
     except (capnp.KjException, ValueError) as error:
         raise FlowError("not an owner query") from error
 
@@ -197,6 +212,7 @@
     """Return the answer in wire form."""
     message = SCHEMA.OwnerAnswer.new_message(
         service=answer.service,
+        agent=answer.agent,
         flow=answer.flow,
         owner=answer.owner or 0,
         number=answer.number,
@@ -216,6 +232,7 @@
         with SCHEMA.OwnerAnswer.from_bytes(body) as message:
             return OwnerAnswer(
                 message.service,
+                message.agent,
                 read_flow(message.flow),
                 message.owner or None,
                 message.number,
--- a/chicorycart/flows/receivers.py
+++ b/chicorycart/flows/receivers.py
@@ -1,7 +1,7 @@
 """Take the messages of other agents on the ownership of flows."""
 
 from chicorycart.address import Address
-from chicorycart.address import pack_address
+from chicorycart.address import AddressError
 from chicorycart.address import unpack_address
 from chicorycart.flows.announce import OwnerAnnouncer
 from chicorycart.flows.claims import Claims
@@ -25,6 +25,24 @@
         raise FlowError(f"message of another service {service:x}")
 
 
+def check_sender(agent: int, source: Address) -> None:
+    """Refuse a message that another instance sent.
+
+    Ports may differ: an agent leaves those whose path has gone silent.
+
+    Raises
+    ------
+    FlowError
+        If the message names an agent of another instance.
+    """
+    try:
+        named = unpack_address(agent)
+    except AddressError as error:
+        raise FlowError(f"message of no agent: {error}") from error
+    if named.host != source.host:
+        raise FlowError(f"message of {named} from {source}")
+
+
 class RecordReceiver:
     """Takes owner records.
 
@@ -57,8 +75,7 @@
         """
         record = decode_record(body)
         check_service(record.service, self.service)
-        if unpack_address(record.owner) != source:
-            raise FlowError(f"record of {record.owner:x} from {source}")
+        check_sender(record.owner, source)
         if self.records.take(record):
             self.mates.learn(record.owner)
 
@@ -102,11 +119,12 @@
         """
         query = decode_query(body)
         check_service(query.service, self.service)
-        self.mates.learn(pack_address(source))
+        check_sender(query.asker, source)
+        self.mates.learn(query.asker)
         if query.flow is None:
-            self.announcer.answer(source)
+            self.announcer.answer(unpack_address(query.asker))
         else:
-            self.claims.take_query(query, source)
+            self.claims.take_query(query)
 
 
 class AnswerReceiver:
@@ -136,4 +154,5 @@
         """
         answer = decode_answer(body)
         check_service(answer.service, self.service)
-        self.claims.take_answer(answer, source)
+        check_sender(answer.agent, source)
+        self.claims.take_answer(answer)
--- a/tests/flows/openings.feature
+++ b/tests/flows/openings.feature
@@ -35,6 +35,13 @@
     And 40 callers open connections whose first answers are lost
     Then every connection lies on one host and answers
 
+  Scenario: Every message comes from another port
+    Given 8 agents and 3 balancers of one service
+    When every message comes from another port
+    And target 1 drains, which only some of the daemons learn
+    And 40 callers open connections whose first answers are lost
+    Then every connection lies on one host and answers
+
   Scenario: One balancer suspects a target that is well
     Given 8 agents and 3 balancers of one service
     When balancer 2 suspects target 1
--- a/tests/flows/openings_steps.py
+++ b/tests/flows/openings_steps.py
@@ -66,6 +66,11 @@
     context.fleet.wire.duplication = 1.0
 
 
+@when("every message comes from another port")
+def move_ports(context):
+    context.fleet.wire.moves_ports = True
+
+
 @when("balancer {balancer:d} suspects target {number:d}")
 def suspect(context, balancer, number):
     context.fleet.balancers[f"b-{balancer}"].suspect(number)
--- a/tests/flows/ownership.feature
+++ b/tests/flows/ownership.feature
@@ -25,6 +25,13 @@
     And 10 minutes pass
     Then no feed of the drained target was reset
 
+  Scenario: A feed survives a drain while messages come from other ports
+    When every message comes from another port
+    And 20 callers open feeds
+    And the target of the first feed drains
+    And 3 minutes pass
+    Then no feed was reset and all lines ran once
+
   Scenario: Records lapse with their owner
     When 20 callers open feeds
     And the target of the first feed drains
--- a/tests/flows/recovery.feature
+++ b/tests/flows/recovery.feature
@@ -42,6 +42,20 @@
     Then nothing was sent to the stranger
     And agent 1 counted "unknown agent"
 
+  Scenario Outline: Messages on owners that an agent must not believe
+    Given 8 agents and 3 balancers of one service
+    When a record comes that is <fault>
+    Then agent 1 holds no record
+    And the link of agent 1 counted a malformed datagram
+
+    Examples:
+      | fault                  |
+      | from another instance  |
+      | of another service     |
+      | leased for too long    |
+      | of a bucket too high   |
+      | cut short              |
+
   Scenario Outline: Packets that an agent must not deliver
     Given 8 agents and 3 balancers of one service
     When a packet comes that is <fault>
--- a/tests/flows/recovery_steps.py
+++ b/tests/flows/recovery_steps.py
@@ -12,7 +12,11 @@
 from chicorycart.configuration.model import hash_name
 from chicorycart.configuration.model import ServiceKind
 from chicorycart.configuration.model import TargetState
+from chicorycart.defaults import BUCKETS_PER_SERVICE
 from chicorycart.defaults import MAX_HOPS
+from chicorycart.defaults import MAX_LEASE_SECONDS
+from chicorycart.flows.messages import encode_record
+from chicorycart.flows.messages import OwnerRecord
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.packets.forward import encode_forward
 from chicorycart.packets.forward import Forward
@@ -207,3 +211,45 @@
 @then('agent {number:d} counted "{outcome}"')
 def check_outcome(context, number, outcome):
     assert context.fleet.agents[number].count(outcome) > 0
+
+
+RECORD_FAULTS = {
+    "from another instance": {"owner": pack_address(STRANGER)},
+    "of another service": {"service": hash_name("catalogue")},
+    "leased for too long": {"lease_seconds": MAX_LEASE_SECONDS + 1},
+    "of a bucket too high": {"buckets": frozenset({BUCKETS_PER_SERVICE})},
+    "cut short": {},
+}
+
+
+@when("a record comes that is {fault}")
+def send_record(context, fault):
+    second = context.fleet.agents[2]
+    values = {
+        "service": hash_name(SERVICE),
+        "owner": second.own,
+        "incarnation": 1,
+        "sequence": 1,
+        "lease_seconds": 1.0,
+        "buckets": frozenset({1}),
+        **RECORD_FAULTS[fault],
+    }
+    body = encode_record(OwnerRecord(**values))
+    if fault == "cut short":
+        body = body[:-8]
+    data = bytes((MessageKind.OWNER_RECORD,)) + body
+    in_loop(context, context.fleet.agents[1].link.take, data, second.address)
+
+
+@then("agent {number:d} holds no record")
+def check_no_record(context, number):
+    assert not len(context.fleet.agents[number].ownership.records)
+
+
+@then("the link of agent {number:d} counted a malformed datagram")
+def check_malformed(context, number):
+    dropped = context.fleet.agents[number].link.dropped
+    samples = dropped.collect()[0].samples
+    totals = [s for s in samples if s.name.endswith("_total")]
+    reasons = [s.labels["reason"] for s in totals if s.value]
+    assert reasons == ["malformed"], reasons
--- a/tests/standins/wire.py
+++ b/tests/standins/wire.py
@@ -44,6 +44,8 @@
         Datagrams that wait for a paused process.
     loss, duplication : float
         Share of datagrams that are lost or doubled.
+    moves_ports : bool
+        Whether datagrams come from other ports than the published ones.
     control_bytes : int
         Bytes sent in other messages than forwarded packets.
     """
@@ -55,6 +57,7 @@
         self.paused: dict[Address, list] = {}
         self.loss = 0.0
         self.duplication = 0.0
+        self.moves_ports = False
         self.control_bytes = 0
 
     def connect(self, address: Address) -> DatagramLink:
@@ -66,6 +69,8 @@
 
     def send(self, source, data, destination):
         """Carry one datagram."""
+        if self.moves_ports:
+            source = Address(source.host, source.port + 1)
         if data[0] != MessageKind.FORWARD:
             self.control_bytes += len(data)
         copies = 1 + (self.random.random() < self.duplication)
