--- a/chicorycart/agent/membership.py
+++ b/chicorycart/agent/membership.py
@@ -20,6 +20,7 @@
 from chicorycart.membership.paths import MatePaths
 from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.reports import Reporter
+from chicorycart.placement.load import Load
 from chicorycart.placement.load import LoadSource
 from chicorycart.settings.model import AgentSettings
 
@@ -89,6 +90,10 @@
         """Tell the mates from now on the load that a source knows."""
         self.monitor.own.load = load
 
+    def current_load(self) -> Load:
+        """Return the load that the mates are told now."""
+        return self.monitor.own.load.current_load()
+
     def start(self) -> list[Task[None]]:
         """Begin to exchange heartbeats."""
         return [create_task(self.monitor.run(self.detector))]
