--- a/chicorycart/configuration/model.py
+++ b/chicorycart/configuration/model.py
@@ -8,6 +8,7 @@
 from chicorycart.address import Address
 from chicorycart.configuration.checksums import sum_weights
 from chicorycart.configuration.checksums import weigh_service
+from chicorycart.configuration.checksums import weigh_version
 
 
 def hash_name(name: str) -> int:
@@ -95,18 +96,16 @@
         Destination address and port of the callers' packets.
     protocol : int
         IP protocol number, 6 for TCP or 17 for UDP.
+    key : tuple of str, int and int
+        Host, port and protocol, for look-ups.
     """
 
-    __slots__ = ("address", "protocol")
+    __slots__ = ("address", "protocol", "key")
 
     def __init__(self, address: Address, protocol: int):
         self.address = address
         self.protocol = protocol
-
-    @property
-    def key(self) -> tuple[str, int, int]:
-        """Host, port and protocol, for look-ups."""
-        return (*self.address, self.protocol)
+        self.key = (*address, protocol)
 
 
 class Service:
@@ -201,12 +200,17 @@
         return {s.identifier: s for s in self.services.values()}
 
     @cached_property
-    def fingerprint(self) -> int:
+    def content(self) -> int:
         """Checksum over the names and digests of all services."""
         return sum_weights(
             weigh_service(name, service.digest)
             for name, service in self.services.items()
         )
 
+    @property
+    def fingerprint(self) -> int:
+        """Checksum over the version and its content."""
+        return sum_weights((self.content, weigh_version(self.version)))
+
 
 EMPTY_CONFIGURATION = Configuration(0, {})
--- a/chicorycart/configuration/platform.py
+++ b/chicorycart/configuration/platform.py
@@ -5,7 +5,8 @@
 ``services/NAME`` is one service; ``bundles/NN``, which may be left out, is
 the text of every service of a shard. So a change of one service costs a
 reader three small values however many services there are, and a first read
-takes two values a shard.
+takes two values a shard. The shard of a service is the 64-bit xxHash of its
+name modulo 64, in two digits.
 """
 
 from json import loads
@@ -18,11 +19,13 @@
 from chicorycart.configuration.errors import RefusedVersionError
 from chicorycart.configuration.errors import SkewedReadError
 from chicorycart.configuration.model import Configuration
+from chicorycart.configuration.model import hash_name
 from chicorycart.configuration.model import Service
 from chicorycart.configuration.parse import parse_service
 from chicorycart.configuration.parse import refuse_shared_entries
 from chicorycart.configuration.values import ValueSource
 from chicorycart.defaults import BUNDLE_MIN_SERVICES
+from chicorycart.defaults import PLATFORM_SHARDS
 from chicorycart.defaults import SKEWED_READ_TRIES
 
 
@@ -33,6 +36,18 @@
         """Wait until the amount is allowed."""
 
 
+class InForce(Protocol):
+    """Something that tells the version in force.
+
+    Attributes
+    ----------
+    current : Configuration
+        The version in force; it may change while a read is under way.
+    """
+
+    current: Configuration
+
+
 class Index:
     """The published version and the digest of each shard."""
 
@@ -52,6 +67,13 @@
         self.digest = digest
         self.services = services
 
+    def pick(self, name: str | None) -> "Shard":
+        """Return the shard with one service only, or whole if None."""
+        if name is None:
+            return self
+        listed = {n: d for n, d in self.services.items() if n == name}
+        return Shard(self.digest, listed)
+
 
 class PlatformClient:
     """Reads configurations; keeps nothing of a read that failed.
@@ -81,13 +103,13 @@
         self.refused_path = ""
 
     async def watch_configuration(
-        self, base: Configuration
+        self, in_force: InForce
     ) -> Configuration | None:
-        """Wait for a version above the base and read it whole.
+        """Wait for a version above the one in force and read it whole.
 
         Parameters
         ----------
-        base : Configuration
+        in_force : InForce
             Its services are taken over where their digests still stand.
 
         Returns
@@ -102,46 +124,82 @@
         RefusedVersionError
             If a published value is at fault.
         """
-        after = max(base.version, self.refused)
+        after = max(in_force.current.version, self.refused)
         await self.pace.take(1)
         body = await self.values.watch("index", after)
-        return await self.read_version(body, base, after)
+        return await self.read_version(body, in_force)
 
     async def read_configuration(
-        self, base: Configuration
+        self, in_force: InForce
     ) -> Configuration | None:
         """Like `watch_configuration`, but answer at once."""
-        after = max(base.version, self.refused)
-        return await self.read_version(await self.read("index"), base, after)
+        return await self.read_version(await self.read("index"), in_force)
+
+    async def read_service(
+        self, name: str, in_force: InForce
+    ) -> Configuration | None:
+        """Read one service only, with the version that lists it.
+
+        Returns
+        -------
+        Configuration or None
+            None if the platform has no version above the one in force.
+        """
+        for _ in range(SKEWED_READ_TRIES):
+            body = await self.read("index")
+            index = parse_index(body) if body is not None else None
+            if index is None or not self.is_later(index, in_force):
+                return None
+            try:
+                return await self.read_index(
+                    select_shard(index, name), in_force.current, name
+                )
+            except SkewedReadError:
+                continue
+        raise SkewedReadError("values do not fit the index")
 
     async def read_version(
-        self, body: bytes | None, base: Configuration, after: int
+        self, body: bytes | None, in_force: InForce
     ) -> Configuration | None:
         """Read the version of an index; read the index anew on a skew."""
         for _ in range(SKEWED_READ_TRIES):
             if body is None:
                 return None
             index = parse_index(body)
-            if index.version <= after:
+            if not self.is_later(index, in_force):
                 return None
             try:
-                return await self.read_index(index, base)
+                return await self.read_index(index, in_force.current)
             except SkewedReadError:
                 body = await self.read("index")
         raise SkewedReadError("values do not fit the index")
 
+    def is_later(self, index: Index, in_force: InForce) -> bool:
+        """Tell whether an index is worth reading."""
+        known = max(in_force.current.version, self.refused)
+        return index.version > known
+
     async def read_index(
-        self, index: Index, base: Configuration
+        self, index: Index, base: Configuration, only: str | None = None
     ) -> Configuration:
-        """Read what the index lists; keep it only if all of it is good."""
+        """Read what the index lists; keep it only if all of it is good.
+
+        Parameters
+        ----------
+        index : Index
+            The version and its shards.
+        base : Configuration
+            Its services are taken over where their digests still stand.
+        only : str, optional
+            Name of the one service to read.
+        """
         shards = {}
         services: dict[str, Service] = {}
         try:
             for key, digest in index.shards.items():
                 shards[key] = await self.read_shard(key, digest)
-                services.update(
-                    await self.read_services(key, shards[key], base)
-                )
+                listed = shards[key].pick(only)
+                services.update(await self.read_services(key, listed, base))
             refuse_shared_entries(services)
         except InvalidConfigurationError as error:
             self.refused = index.version
@@ -233,6 +291,14 @@
     return Index(version, value["shards"])
 
 
+def select_shard(index: Index, name: str) -> Index:
+    """Return the index with no shard but that of one service."""
+    key = f"{hash_name(name) % PLATFORM_SHARDS:02}"
+    return Index(
+        index.version, {k: d for k, d in index.shards.items() if k == key}
+    )
+
+
 def decode(key: str, body: bytes) -> Any:
     """Return the JSON value of a body."""
     try:
--- a/chicorycart/links/datagrams.py
+++ b/chicorycart/links/datagrams.py
@@ -22,6 +22,10 @@
     SUSPICION = 3
     OWNER_RECORD = 4
     OWNER_QUERY = 5
+    VERSION_RUMOUR = 6
+    VERSION_DIGEST = 7
+    SUBSCRIPTION = 8
+    SERVICE_UPDATE = 9
     OWNER_ANSWER = 10
 
 
--- a/chicorycart/packets/ipv4.py
+++ b/chicorycart/packets/ipv4.py
@@ -124,6 +124,11 @@
     return xxh64_intdigest(flow)
 
 
+def is_udp(flow: bytes) -> bool:
+    """Tell whether the flow is one of UDP, which opens with no mark."""
+    return flow[0] == IP_PROTO_UDP
+
+
 def describe_flow(flow: bytes) -> str:
     """Return the flow as ``tcp:SOURCE:PORT>DESTINATION:PORT``."""
     protocol = "tcp" if flow[0] == IP_PROTO_TCP else "udp"
