Tell an agent's follower of versions that packets carry

Cause: notice_version had no caller, so an agent behind by a lost push waited for its subscription. Seen red without the call (tests.run tests/agent/delivery.feature: 0 passed, 1 failed), green with it.

--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -134,6 +134,7 @@
             self.registry,
         )
         self.link.register(MessageKind.SERVICE_UPDATE, self.versions)
+        self.ownership.delivery.versions = self.versions
         detector.subscribe(self.versions)
         self.instances = InstanceFollower(
             self.platform, Random(), self.registry
--- a/chicorycart/agent/delivery.py
+++ b/chicorycart/agent/delivery.py
@@ -1,5 +1,7 @@
 """Decides whether a packet is this agent's, and passes on the others."""
 
+from typing import Protocol
+
 from chicorycart.address import Address
 from chicorycart.agent.opening import OpeningPlacement
 from chicorycart.agent.output import PacketOutput
@@ -14,6 +16,13 @@
 from chicorycart.packets.ipv4 import parse_packet
 
 
+class VersionWatcher(Protocol):
+    """Something that fetches versions that were seen."""
+
+    def notice_version(self, version: int) -> None:
+        """Learn that a packet carried this version."""
+
+
 class Delivery:
     """Takes forwarded packets at one agent.
 
@@ -31,6 +40,8 @@
         Places packets that may open a flow.
     search : OwnerSearch
         Passes on packets of flows that others own.
+    versions : VersionWatcher or None
+        Told of versions later than the one in force here.
     """
 
     __slots__ = (
@@ -40,6 +51,7 @@
         "output",
         "openings",
         "search",
+        "versions",
     )
 
     def __init__(
@@ -50,6 +62,7 @@
         output: PacketOutput,
         openings: OpeningPlacement,
         search: OwnerSearch,
+        versions: VersionWatcher | None = None,
     ):
         self.service = service
         self.mates = mates
@@ -57,6 +70,7 @@
         self.output = output
         self.openings = openings
         self.search = search
+        self.versions = versions
 
     def receive(self, body: bytes, source: Address) -> None:
         """Take one forwarded packet.
@@ -81,6 +95,8 @@
 
     def route(self, forward: Forward, packet: Packet, source: Address) -> None:
         """Deliver a packet of an owned flow; seek the owner of others."""
+        if self.versions and forward.version > self.mates.version:
+            self.versions.notice_version(forward.version)
         if self.table.owns(packet.flow):
             self.output.keep(forward, packet, "owner")
         elif packet.is_opening or is_udp(packet.flow):
--- a/chicorycart/agent/opening.py
+++ b/chicorycart/agent/opening.py
@@ -203,7 +203,7 @@
         once more, but never back.
         """
         is_active = self.mates.is_active(self.mates.own)
-        if not is_active or not self.accepts(forward):
+        if not (is_active and self.acceptance.accepts(forward)):
             self.decide(forward, packet)
         elif forward.hops > MAX_CHOICE_HOPS:
             self.accept(forward, packet, "placed here")
@@ -255,7 +255,7 @@
 
     def is_candidate(self, forward: Forward, candidates: list[int]) -> bool:
         """Tell whether flows of the bucket may be accepted here."""
-        if forward.version > self.mates.store.current.version:
+        if forward.version > self.mates.version:
             return True
         return self.mates.own in candidates
 
--- a/chicorycart/agent/search.py
+++ b/chicorycart/agent/search.py
@@ -119,7 +119,7 @@
 
     def is_settled(self, forward: Forward) -> bool:
         """Tell whether this agent would know the owner if there were one."""
-        if forward.version > self.mates.store.current.version:
+        if forward.version > self.mates.version:
             return False
         return self.settling.is_settled()
 
--- a/chicorycart/flows/mates.py
+++ b/chicorycart/flows/mates.py
@@ -115,6 +115,11 @@
         """Tell whether packets can be sent to the agent."""
         return self.is_known(agent) and not self.is_suspected(agent)
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force here."""
+        return self.store.current.version
+
     def serves(self, entry: tuple[str, int, int]) -> bool:
         """Tell whether callers reach the service at this entry.
 
