--- a/chicorycart/balancer/daemon.py
+++ b/chicorycart/balancer/daemon.py
@@ -2,43 +2,23 @@
 
 from asyncio import create_task
 from asyncio import Event
-from random import Random
-from time import time
 from typing import Any
 
-from prometheus_client import CollectorRegistry
-
-from chicorycart.address import Address
 from chicorycart.address import unpack_address
 from chicorycart.balancer.forwarding import ChainCache
 from chicorycart.balancer.forwarding import Forwarder
 from chicorycart.balancer.membership import BalancerMembership
 from chicorycart.balancer.quiet import QuietWatch
-from chicorycart.clock import LoopClock
 from chicorycart.configuration.exchange import VersionExchange
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.peer_client import PeerClient
-from chicorycart.configuration.peers import PeerTable
-from chicorycart.configuration.platform import PlatformClient
 from chicorycart.configuration.serving import list_routes
-from chicorycart.configuration.store import ConfigurationStore
-from chicorycart.configuration.values import HttpValues
-from chicorycart.defaults import READER_CALLS_BURST
-from chicorycart.defaults import READER_CALLS_PER_SECOND
-from chicorycart.links.datagrams import DatagramLink
-from chicorycart.links.peers import PeerLinks
+from chicorycart.daemon import DaemonParts
 from chicorycart.links.sockets import DatagramSocket
-from chicorycart.membership.follow import InstanceFollower
-from chicorycart.membership.incarnation import Incarnation
-from chicorycart.membership.pauses import PauseDetector
-from chicorycart.membership.sources import KnownSources
 from chicorycart.operation.decisions import DecisionLog
 from chicorycart.operation.endpoints import serve_endpoints
 from chicorycart.operation.stopping import wait_until
 from chicorycart.settings.model import BalancerSettings
 
-ANY_PORT = 0
-
 
 class Balancer:
     """A balancer and its parts.
@@ -50,62 +30,41 @@
     """
 
     def __init__(self, settings: BalancerSettings):
-        daemon = settings.daemon
+        parts = DaemonParts(settings.daemon)
         self.settings = settings
-        self.registry = CollectorRegistry()
-        clock = LoopClock()
-        self.store = ConfigurationStore(clock)
-        self.sources = KnownSources(clock)
-        self.store.subscribe(self.sources)
-        self.data_socket = DatagramSocket(daemon.data)
+        self.parts = parts
         self.fabric_socket = DatagramSocket(settings.fabric)
-        self.link = PeerLinks(
-            DatagramLink(self.data_socket, self.sources, self.registry),
-            lambda: DatagramSocket(Address(daemon.data.host, ANY_PORT)),
-        )
-        detector = PauseDetector(clock)
         self.membership = BalancerMembership(
-            daemon,
-            clock,
-            self.store,
-            self.link,
-            Incarnation(time()),
-            detector,
-            Random(),
-            self.registry,
+            settings.daemon,
+            parts.clock,
+            parts.store,
+            parts.link,
+            parts.incarnation,
+            parts.detector,
+            parts.random,
+            parts.registry,
         )
-        chains = ChainCache(self.store, self.membership.domains)
+        chains = ChainCache(parts.store, self.membership.domains)
         self.membership.subscribe(chains)
         self.forwarder = Forwarder(
-            self.store,
+            parts.store,
             chains,
-            self.link,
-            DecisionLog(daemon.log.decision_sample),
-            self.registry,
+            parts.link,
+            DecisionLog(settings.daemon.log.decision_sample),
+            parts.registry,
         )
-        self.platform = PlatformClient(
-            HttpValues(daemon.platform),
-            TokenBucket(clock, READER_CALLS_PER_SECOND, READER_CALLS_BURST),
-        )
-        peers = PeerTable(daemon.name, daemon.domain, clock)
         self.versions = VersionExchange(
-            self.store,
-            self.platform,
+            parts.store,
+            parts.platform,
             PeerClient(),
-            self.link,
-            peers,
-            Random(),
-            clock,
-            self.registry,
-        )
-        self.versions.register(self.link)
-        detector.subscribe(self.versions)
-        self.instances = InstanceFollower(
-            self.platform, Random(), self.registry
+            parts.link,
+            parts.peers,
+            parts.random,
+            parts.clock,
+            parts.registry,
         )
-        self.instances.subscribe(self.sources)
-        self.instances.subscribe(peers)
-        self.instances.subscribe(self.membership.balancers)
+        self.versions.register(parts.link)
+        parts.join(self.versions, self.membership.balancers)
         self.stopping = False
 
     def is_ready(self) -> bool:
@@ -118,7 +77,7 @@
             "name": self.settings.daemon.name,
             "role": "balancer",
             "ready": self.is_ready(),
-            "version": self.store.current.version,
+            "version": self.parts.store.current.version,
             "suspected_domains": sorted(self.membership.domains.suspected),
             "suspected": [
                 str(unpack_address(agent))
@@ -131,24 +90,23 @@
         daemon = self.settings.daemon
         server = serve_endpoints(
             daemon.control,
-            self.registry,
+            self.parts.registry,
             self,
             list_routes(self.versions.server),
         )
         tasks = [
-            create_task(self.instances.run()),
+            create_task(self.parts.instances.run()),
             *self.membership.start(),
             create_task(self.versions.run()),
             create_task(self.serve_fabric()),
         ]
-        self.data_socket.start(self.link.main)
+        self.parts.start()
         await stop.wait()
         await self.finish_work()
         for task in tasks:
             task.cancel()
         self.fabric_socket.close()
-        self.link.close()
-        self.data_socket.close()
+        self.parts.close()
         server.stop()
 
     async def serve_fabric(self) -> None:
@@ -159,5 +117,5 @@
     async def finish_work(self) -> None:
         """Go on forwarding until the fabric sends no more."""
         self.stopping = True
-        quiet = QuietWatch(LoopClock(), self.fabric_socket)
+        quiet = QuietWatch(self.parts.clock, self.fabric_socket)
         await wait_until(quiet.is_quiet, self.settings.stop_seconds)
