Go over changed services only when sources are brought up to date

Cause: a balancer walked 38,000 targets at each change (about 16 ms of 46, measure.configuration_cost under load). Ruled out: leaving the sources stale until a datagram comes, which would drop new agents.

--- a/chicorycart/membership/sources.py
+++ b/chicorycart/membership/sources.py
@@ -1,10 +1,12 @@
 """Whose system datagrams are taken."""
 
+from collections import Counter
 from collections import OrderedDict
 from collections.abc import Iterable
 
 from chicorycart.clock import Clock
 from chicorycart.configuration.model import Configuration
+from chicorycart.configuration.model import Service
 from chicorycart.defaults import DEPARTED_SOURCE_SECONDS
 from chicorycart.defaults import MAX_DEPARTED_SOURCES
 from chicorycart.membership.instances import Instance
@@ -23,12 +25,13 @@
         Ages the addresses that left.
     """
 
-    __slots__ = ("clock", "listed", "configured", "departed")
+    __slots__ = ("clock", "listed", "configured", "services", "departed")
 
     def __init__(self, clock: Clock):
         self.clock = clock
         self.listed: set[str] = set()
-        self.configured: set[str] = set()
+        self.configured: Counter[str] = Counter()
+        self.services: dict[str, Service] = {}
         self.departed: OrderedDict[str, float] = OrderedDict()
 
     def is_known(self, host: str) -> bool:
@@ -47,14 +50,27 @@
         return True
 
     def change_configuration(self, configuration: Configuration) -> None:
-        """Take the agents of a configuration that came into force."""
-        before = self.configured
-        self.configured = {
-            target.agent.host
-            for service in configuration.services.values()
-            for target in service.targets
-        }
-        self.note_departed(before)
+        """Take the agents of a configuration that came into force.
+
+        Only services that changed are gone over, since there are thousands
+        and most changes are of one.
+        """
+        before = self.services
+        self.services = configuration.services
+        departed = [
+            host
+            for name, service in before.items()
+            if self.services.get(name) is not service
+            for host in list_hosts(service)
+        ]
+        for name, service in self.services.items():
+            if before.get(name) is not service:
+                self.configured.update(list_hosts(service))
+        self.configured.subtract(departed)
+        for host in departed:
+            if not self.configured[host]:
+                del self.configured[host]
+        self.note_departed(departed)
 
     def change_instances(self, instances: list[Instance]) -> None:
         """Take the addresses of an instance list."""
@@ -71,3 +87,8 @@
                 self.departed.move_to_end(host)
         while len(self.departed) > MAX_DEPARTED_SOURCES:
             self.departed.popitem(last=False)
+
+
+def list_hosts(service: Service) -> list[str]:
+    """Return the addresses of the agents of a service."""
+    return [target.agent.host for target in service.targets]
