Begin with balancers from the settings while the platform is down

Cause: a process that starts during an outage knew nobody, since the list of instances comes from the platform, so it never served. Ruled out: keeping a list over a restart, since instances keep nothing. A replacement at an unlisted address is still not heard by agents.

--- a/chicorycart/daemon.py
+++ b/chicorycart/daemon.py
@@ -20,10 +20,14 @@
 from chicorycart.links.sockets import DatagramSocket
 from chicorycart.membership.follow import InstanceFollower
 from chicorycart.membership.incarnation import Incarnation
+from chicorycart.membership.instances import Instance
+from chicorycart.membership.instances import InstanceRole
+from chicorycart.membership.instances import InstanceState
 from chicorycart.membership.instances import InstanceSubscriber
 from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.sources import KnownSources
 from chicorycart.settings.model import DaemonSettings
+from chicorycart.settings.model import PeerSettings
 
 ANY_PORT = 0
 
@@ -119,6 +123,9 @@
         self.instances.subscribe(self.sources)
         self.instances.subscribe(self.peers)
         self.instances.subscribe(balancers)
+        self.instances.begin_with(
+            [build_instance(peer) for peer in self.settings.peers]
+        )
 
     def start(self) -> None:
         """Begin to take messages."""
@@ -128,3 +135,16 @@
         """Release every socket."""
         self.link.close()
         self.data_socket.close()
+
+
+def build_instance(peer: PeerSettings) -> Instance:
+    """Return a balancer of the settings as an instance list has it."""
+    return Instance(
+        peer.name,
+        InstanceRole.BALANCER,
+        peer.data,
+        peer.control,
+        peer.region,
+        peer.domain,
+        InstanceState.LIVE,
+    )
--- a/chicorycart/membership/follow.py
+++ b/chicorycart/membership/follow.py
@@ -13,6 +13,7 @@
 from chicorycart.defaults import INSTANCES_READS_PER_SECOND
 from chicorycart.defaults import INSTANCES_REFRESH_SECONDS
 from chicorycart.membership.errors import InstanceListError
+from chicorycart.membership.instances import Instance
 from chicorycart.membership.instances import InstanceSubscriber
 from chicorycart.membership.instances import parse_instances
 
@@ -68,6 +69,11 @@
         """Tell the subscriber of each later list."""
         self.subscribers.append(subscriber)
 
+    def begin_with(self, instances: list[Instance]) -> None:
+        """Hand on instances that are known before any list is read."""
+        for subscriber in self.subscribers:
+            subscriber.change_instances(instances)
+
     async def run(self) -> None:
         """Read the list again and again."""
         while True:
--- a/chicorycart/settings/load.py
+++ b/chicorycart/settings/load.py
@@ -17,6 +17,7 @@
 from chicorycart.settings.model import BalancerSettings
 from chicorycart.settings.model import DaemonSettings
 from chicorycart.settings.model import LogSettings
+from chicorycart.settings.model import PeerSettings
 
 BALANCER_SCHEMA = Path(__file__).with_name("balancer.schema.json")
 AGENT_SCHEMA = Path(__file__).with_name("agent.schema.json")
@@ -86,6 +87,14 @@
 
 def find_bad_addresses(value: dict[str, Any]) -> list[str]:
     """Return a line for each address that the pattern let through."""
+    lines = list_bad_addresses("$", value)
+    for index, peer in enumerate(value.get("peers", [])):
+        lines += list_bad_addresses(f"$.peers[{index}]", peer)
+    return lines
+
+
+def list_bad_addresses(path: str, value: dict[str, Any]) -> list[str]:
+    """Return a line for each bad address of one object."""
     lines = []
     for key in ADDRESS_KEYS:
         if key not in value:
@@ -93,7 +102,7 @@
         try:
             parse_address(value[key])
         except AddressError as error:
-            lines.append(f"$.{key}: {error}")
+            lines.append(f"{path}.{key}: {error}")
     return lines
 
 
@@ -112,4 +121,16 @@
         parse_address(value["control"]),
         [base.rstrip("/") for base in value["platform"]],
         LogSettings(**value.get("log", {})),
+        [build_peer_settings(item) for item in value.get("peers", [])],
+    )
+
+
+def build_peer_settings(value: dict[str, Any]) -> PeerSettings:
+    """Build one balancer to begin with from a checked value."""
+    return PeerSettings(
+        value["name"],
+        value["region"],
+        value["domain"],
+        parse_address(value["data"]),
+        parse_address(value["control"]),
     )
--- a/chicorycart/settings/model.py
+++ b/chicorycart/settings/model.py
@@ -29,6 +29,36 @@
         self.decision_sample = decision_sample
 
 
+class PeerSettings:
+    """A balancer to begin with, while the instance list cannot be read.
+
+    Attributes
+    ----------
+    name : str
+        Unique name of the instance.
+    region, domain : str
+        Region and failure domain that it stands in.
+    data, control : Address
+        Where it takes datagrams and serves its pages.
+    """
+
+    __slots__ = ("name", "region", "domain", "data", "control")
+
+    def __init__(
+        self,
+        name: str,
+        region: str,
+        domain: str,
+        data: Address,
+        control: Address,
+    ):
+        self.name = name
+        self.region = region
+        self.domain = domain
+        self.data = data
+        self.control = control
+
+
 class DaemonSettings:
     """What every daemon is told.
 
@@ -46,6 +76,8 @@
         Base addresses of the platform's configuration service.
     log : LogSettings
         What is logged.
+    peers : list of PeerSettings
+        Balancers to begin with, until the instance list is read.
     """
 
     __slots__ = (
@@ -56,6 +88,7 @@
         "control",
         "platform",
         "log",
+        "peers",
     )
 
     def __init__(
@@ -67,6 +100,7 @@
         control: Address,
         platform: list[str],
         log: LogSettings,
+        peers: list[PeerSettings],
     ):
         self.name = name
         self.region = region
@@ -75,6 +109,7 @@
         self.control = control
         self.platform = platform
         self.log = log
+        self.peers = peers
 
 
 class BalancerSettings:
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -69,12 +69,14 @@
         self.fabric = Fabric(network.place(3, 1, FABRIC_PORT), self.random)
         self.hosts: dict[str, Host] = {}
         self.targets: dict[str, StandInTarget] = {}
+        self.seeds: list[dict[str, str]] = []
         self.processes: dict[str, Process] = {}
         self.controls: dict[str, Address] = {}
         self.http = AsyncHTTPClient(force_instance=True, max_clients=1000)
 
     async def start(self, balancers: int = 3) -> None:
         """Start everything and wait until every daemon is ready."""
+        self.seeds = [self.plan_seed(n + 1) for n in range(balancers)]
         self.platform.listen(self.platform_address)
         self.platform.patch(
             0, {name: plan.publish() for name, plan in self.services.items()}
@@ -106,12 +108,13 @@
 
     async def start_balancer(self, number: int, wait: bool = True) -> None:
         """Start a balancer and let the fabric use it."""
-        name = f"balancer-{number}"
+        seed = self.plan_seed(number)
+        name = seed["name"]
         fabric = self.network.place(1, number, FABRIC_PORT)
         settings = self.common_settings(
             name,
-            "riga",
-            f"riga-{'abc'[number % 3]}",
+            seed["region"],
+            seed["domain"],
             self.network.place(1, number, DATA_PORT),
             self.network.place(1, number, CONTROL_PORT),
         )
@@ -122,6 +125,16 @@
             await self.wait_ready(name)
         self.fabric.balancers.append(fabric)
 
+    def plan_seed(self, number: int) -> dict[str, str]:
+        """Return a balancer as the settings of other daemons name it."""
+        return {
+            "name": f"balancer-{number}",
+            "region": "riga",
+            "domain": f"riga-{'abc'[number % 3]}",
+            "data": str(self.network.place(1, number, DATA_PORT)),
+            "control": str(self.network.place(1, number, CONTROL_PORT)),
+        }
+
     async def start_agent(
         self, plan: ServicePlan, member: int, wait: bool = True
     ) -> None:
@@ -163,6 +176,7 @@
             "data": str(data),
             "control": str(control),
             "platform": [f"http://{self.platform_address}"],
+            "peers": self.seeds,
         }
 
     def list_instance(
