--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -273,7 +273,7 @@
 DIGEST_SECONDS = 1.0
 """Time between two exchanges of versions with a peer."""
 
-VERSION_BYTES_PER_SECOND = 1_500.0
+VERSION_BYTES_PER_SECOND = 1_250.0
 """Bytes that one process sends for the configuration, on average."""
 
 VERSION_BYTES_BURST = 60_000.0
