Split the intake of requests from the gateway

Checks and deadlines stand in intake.py now; behaviour is unchanged. A protocol named Service is a Responder.

--- a/chicorycart/requests/build.py
+++ b/chicorycart/requests/build.py
@@ -13,6 +13,7 @@
 from chicorycart.placement.load import MateLoads
 from chicorycart.requests.budget import RetryBudget
 from chicorycart.requests.gateway import Gateway
+from chicorycart.requests.intake import RequestIntake
 from chicorycart.requests.mates import Mates
 from chicorycart.requests.rate import ServiceTime
 from chicorycart.requests.seen import SeenRequests
@@ -36,12 +37,15 @@
         Slots(clock, ServiceTime(START_SERVICE_SECONDS), DEFAULT_SLOTS),
         Mates(store, settings.service, settings.target, loads, clock, random),
         RetryBudget(),
-        SeenRequests(time),
-        sources,
+        RequestIntake(
+            SeenRequests(time),
+            sources,
+            clock,
+            time,
+            settings.deadline_seconds,
+        ),
         clock,
-        time,
         random,
-        settings.deadline_seconds,
         settings.daemon.log.decision_sample,
         registry,
     )
--- a/chicorycart/requests/caller.py
+++ b/chicorycart/requests/caller.py
@@ -29,7 +29,7 @@
 NO_BODY_STATUSES = (204, 304)
 
 
-class Service(Protocol):
+class Responder(Protocol):
     """Answers requests."""
 
     def serve(
@@ -51,9 +51,9 @@
         Whether the head of an answer was written.
     """
 
-    def __init__(self, connection: HTTP1Connection, service: Service):
+    def __init__(self, connection: HTTP1Connection, responder: Responder):
         self.connection = connection
-        self.service = service
+        self.responder = responder
         self.host = connection.context.remote_ip
         self.pipe = Pipe()
         self.read_whole = Event()
@@ -76,7 +76,7 @@
     async def run(self, line: RequestStartLine, headers: HTTPHeaders) -> None:
         """Have the request answered; never leave its caller waiting."""
         try:
-            await self.service.serve(line, headers, self)
+            await self.responder.serve(line, headers, self)
         except CallerLeftError:
             self.cut()
         except Exception:
@@ -117,6 +117,7 @@
         if self.version == HTTP_1_0:
             is_closing = True
             self.is_until_close = has_body and "Content-Length" not in headers
+            # tornado would keep the connection open and has no other switch.
             self.connection._request_headers.pop("Connection", None)
         if is_closing:
             headers["Connection"] = "close"
--- a/chicorycart/requests/gateway.py
+++ b/chicorycart/requests/gateway.py
@@ -3,9 +3,7 @@
 from asyncio import CancelledError
 from asyncio import Event
 from asyncio import get_running_loop
-from collections.abc import Callable
 from random import Random
-from re import compile as compile_pattern
 
 from logbook import Logger
 from prometheus_client import CollectorRegistry
@@ -18,14 +16,9 @@
 from chicorycart.configuration.model import Configuration
 from chicorycart.configuration.model import Target
 from chicorycart.defaults import MAX_ATTEMPTS
-from chicorycart.defaults import MAX_DEADLINE_SECONDS
-from chicorycart.defaults import MAX_REQUEST_BODY_BYTES
-from chicorycart.defaults import MAX_REQUEST_HEADER_BYTES
 from chicorycart.defaults import STREAM_AFTER_SECONDS
 from chicorycart.defaults import TARGET_DOWN_SECONDS
-from chicorycart.membership.sources import KnownSources
 from chicorycart.placement.load import Load
-from chicorycart.requests.body import RequestBody
 from chicorycart.requests.budget import RetryBudget
 from chicorycart.requests.caller import Caller
 from chicorycart.requests.errors import AnswerCutError
@@ -40,33 +33,21 @@
 from chicorycart.requests.exchange import Exchange
 from chicorycart.requests.exchange import open_exchange
 from chicorycart.requests.headers import copy_headers
-from chicorycart.requests.headers import DEADLINE
-from chicorycart.requests.headers import HOPS
 from chicorycart.requests.headers import OUTCOME
 from chicorycart.requests.headers import OUTCOME_NOT_RUN
 from chicorycart.requests.headers import OUTCOME_UNKNOWN
-from chicorycart.requests.headers import read_number
-from chicorycart.requests.headers import REQUEST_ID
-from chicorycart.requests.headers import size_of
-from chicorycart.requests.headers import TIMEOUT_MS
+from chicorycart.requests.intake import check_framing
+from chicorycart.requests.intake import RequestIntake
 from chicorycart.requests.mates import Mates
-from chicorycart.requests.message import MILLISECONDS
 from chicorycart.requests.message import Request
 from chicorycart.requests.refusals import build_refusal
 from chicorycart.requests.refusals import UNAVAILABLE
-from chicorycart.requests.seen import SeenRequests
 from chicorycart.requests.slots import Slot
 from chicorycart.requests.slots import Slots
 
 LOGGER = Logger("decision")
 IDENTIFIER_BITS = 128
 SAMPLE_RANGE = 1 << IDENTIFIER_BITS
-IDENTIFIER = compile_pattern("[0-9a-f]{32}")
-BAD_REQUEST = 400
-LENGTH_REQUIRED = 411
-CONTENT_TOO_LARGE = 413
-HEADERS_TOO_LARGE = 431
-CHUNKED_METHODS = ("POST", "PUT", "PATCH")
 
 
 class Gateway:
@@ -84,18 +65,12 @@
         The own target as configured, and the others of the service.
     budget : RetryBudget
         Bounds what is sent to a second place.
-    seen : SeenRequests
-        Forwarded requests taken before.
-    sources : KnownSources
-        Instances whose forwarded requests are believed.
+    intake : RequestIntake
+        Checks requests and finds their deadlines.
     clock : Clock
         Gives the time that deadlines are in; that of the event loop.
-    wall_clock : callable
-        Returns the time in seconds since the epoch.
     random : Random
         Makes identifiers and spreads refused callers.
-    deadline_seconds : float
-        Time to answer when the caller does not ask for less.
     log_share : float
         Share of requests whose decisions are logged.
     registry : CollectorRegistry
@@ -121,12 +96,9 @@
         "slots",
         "mates",
         "budget",
-        "seen",
-        "sources",
+        "intake",
         "clock",
-        "wall_clock",
         "random",
-        "deadline_seconds",
         "log_limit",
         "requests",
         "resends",
@@ -144,12 +116,9 @@
         slots: Slots,
         mates: Mates,
         budget: RetryBudget,
-        seen: SeenRequests,
-        sources: KnownSources,
+        intake: RequestIntake,
         clock: Clock,
-        wall_clock: Callable[[], float],
         random: Random,
-        deadline_seconds: float,
         log_share: float,
         registry: CollectorRegistry,
     ):
@@ -158,12 +127,9 @@
         self.slots = slots
         self.mates = mates
         self.budget = budget
-        self.seen = seen
-        self.sources = sources
+        self.intake = intake
         self.clock = clock
-        self.wall_clock = wall_clock
         self.random = random
-        self.deadline_seconds = deadline_seconds
         self.log_limit = int(log_share * SAMPLE_RANGE)
         self.requests = Counter(
             "chicorycart_requests",
@@ -212,7 +178,9 @@
         self.is_idle.clear()
         identifier = f"{self.random.getrandbits(IDENTIFIER_BITS):032x}"
         try:
-            request = self.build_request(line, headers, caller, identifier)
+            request = self.intake.build_request(
+                line, headers, caller, identifier
+            )
             await self.answer(request, caller)
         except AnswerCutError as error:
             self.tell(identifier, "cut", str(error))
@@ -228,48 +196,6 @@
             if not self.in_progress:
                 self.is_idle.set()
 
-    def build_request(
-        self,
-        line: RequestStartLine,
-        headers: HTTPHeaders,
-        caller: Caller,
-        identifier: str,
-    ) -> Request:
-        """Check a request and find its deadline.
-
-        Fields that only mates send are believed from known instances; from
-        anybody else they mean nothing.
-        """
-        if size_of(headers) + len(line.path) > MAX_REQUEST_HEADER_BYTES:
-            raise BadRequestError(HEADERS_TOO_LARGE, "the head is too large")
-        length = read_number(headers, "Content-Length") or 0
-        if length > MAX_REQUEST_BODY_BYTES:
-            raise BadRequestError(CONTENT_TOO_LARGE, "the body is too large")
-        is_forwarded = HOPS in headers and self.sources.is_known(caller.host)
-        wall = self.wall_clock()
-        wall_deadline = wall + self.choose_seconds(headers)
-        if is_forwarded:
-            identifier = read_identifier(headers)
-            deadline_ms = read_number(headers, DEADLINE) or 0
-            wall_deadline = deadline_ms / MILLISECONDS
-            self.seen.admit(identifier, wall_deadline)
-        return Request(
-            line,
-            headers,
-            RequestBody(caller.pipe),
-            identifier,
-            self.clock.now() + wall_deadline - wall,
-            wall_deadline,
-            is_forwarded,
-        )
-
-    def choose_seconds(self, headers: HTTPHeaders) -> float:
-        """Return how long the caller waits for an answer to begin."""
-        asked = read_number(headers, TIMEOUT_MS)
-        if asked is None:
-            return self.deadline_seconds
-        return min(asked / MILLISECONDS, MAX_DEADLINE_SECONDS)
-
     async def answer(self, request: Request, caller: Caller) -> None:
         """Run a request where there is room for it."""
         if request.is_forwarded:
@@ -277,7 +203,7 @@
         else:
             self.budget.earn()
         await request.body.prefetch()
-        self.check_framing(request)
+        check_framing(request)
         try:
             await self.run_here(request, caller)
         except (NotRunError, OutcomeUnknownError) as error:
@@ -289,13 +215,6 @@
         if not self.takes_new_work or not self.slots.has_room:
             raise RefusedError("no room for a forwarded request")
 
-    def check_framing(self, request: Request) -> None:
-        """Refuse a large body whose length the target could not see."""
-        if request.body.is_whole or "Content-Length" in request.headers:
-            return
-        if request.line.method not in CHUNKED_METHODS:
-            raise BadRequestError(LENGTH_REQUIRED, "the body has no length")
-
     async def run_here(self, request: Request, caller: Caller) -> None:
         """Run a request on the own target."""
         if not self.takes_new_work and self.mates.list_active():
@@ -460,14 +379,6 @@
         )
 
 
-def read_identifier(headers: HTTPHeaders) -> str:
-    """Return the identifier that a mate gave to a request."""
-    identifier = headers.get(REQUEST_ID, "")
-    if not IDENTIFIER.fullmatch(identifier):
-        raise BadRequestError(BAD_REQUEST, f"{REQUEST_ID} is missing or bad")
-    return identifier
-
-
 def is_not_run(head: AnswerHead) -> bool:
     """Tell whether an answer says that the request was not run."""
     outcome = head.headers.get(OUTCOME)
--- a/chicorycart/settings/model.py
+++ b/chicorycart/settings/model.py
@@ -1,5 +1,7 @@
 """The settings of each daemon as plain objects."""
 
+from collections.abc import Sequence
+
 from chicorycart.address import Address
 from chicorycart.defaults import LOG_SAMPLE
 from chicorycart.defaults import REQUEST_DEADLINE_SECONDS
@@ -76,7 +78,7 @@
         Base addresses of the platform's configuration service.
     log : LogSettings
         What is logged.
-    peers : list of PeerSettings
+    peers : sequence of PeerSettings
         Balancers to begin with, until the instance list is read.
     """
 
@@ -100,7 +102,7 @@
         control: Address,
         platform: list[str],
         log: LogSettings,
-        peers: list[PeerSettings],
+        peers: Sequence[PeerSettings] = (),
     ):
         self.name = name
         self.region = region
