Let one piece of code take heartbeats, and the token bucket belong to all

Cause: duplicates named the same reading and answering in evidence and monitor, and five slices took the token bucket from the configuration's.

--- a/chicorycart/balancer/membership.py
+++ b/chicorycart/balancer/membership.py
@@ -8,7 +8,6 @@
 
 from chicorycart.address import pack_address
 from chicorycart.clock import Clock
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.defaults import PROBE_BURST_BYTES
 from chicorycart.defaults import PROBE_BYTES_PER_SECOND
@@ -29,6 +28,7 @@
 from chicorycart.membership.peers import FlatPeers
 from chicorycart.membership.suspicions import SuspicionBook
 from chicorycart.membership.suspicions import SuspicionSubscriber
+from chicorycart.pace import TokenBucket
 from chicorycart.settings.model import DaemonSettings
 
 
--- a/chicorycart/commands/reading.py
+++ b/chicorycart/commands/reading.py
@@ -16,13 +16,13 @@
 from chicorycart.commands.errors import UnreachableError
 from chicorycart.configuration.errors import ConfigurationError
 from chicorycart.configuration.model import Configuration
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.platform import PlatformClient
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.configuration.values import HttpValues
 from chicorycart.defaults import READER_CALLS_BURST
 from chicorycart.defaults import READER_CALLS_PER_SECOND
 from chicorycart.defaults import TOOL_TIMEOUT_SECONDS
+from chicorycart.pace import TokenBucket
 
 
 class Answer:
--- a/chicorycart/configuration/exchange.py
+++ b/chicorycart/configuration/exchange.py
@@ -19,7 +19,6 @@
 from chicorycart.configuration.follow import ReadingTurns
 from chicorycart.configuration.keeper import VersionKeeper
 from chicorycart.configuration.metrics import ConfigurationMetrics
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.peers import DomainPicker
 from chicorycart.configuration.peers import PeerPicker
 from chicorycart.configuration.peers import PeerTable
@@ -37,6 +36,7 @@
 from chicorycart.defaults import VERSION_BYTES_PER_SECOND
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Sender
+from chicorycart.pace import TokenBucket
 
 
 class VersionExchange:
--- a/chicorycart/configuration/fetch.py
+++ b/chicorycart/configuration/fetch.py
@@ -15,12 +15,12 @@
 from chicorycart.configuration.errors import PeerError
 from chicorycart.configuration.keeper import VersionKeeper
 from chicorycart.configuration.messages import Delta
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.peers import Peer
 from chicorycart.configuration.peers import PeerPicker
 from chicorycart.defaults import FETCH_TRIES
 from chicorycart.defaults import FETCHES_BURST
 from chicorycart.defaults import FETCHES_PER_SECOND
+from chicorycart.pace import TokenBucket
 
 LOGGER = Logger("configuration")
 
--- a/chicorycart/configuration/rumours.py
+++ b/chicorycart/configuration/rumours.py
@@ -14,7 +14,6 @@
 from chicorycart.configuration.messages import encode_rumour
 from chicorycart.configuration.messages import Rumour
 from chicorycart.configuration.model import Configuration
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.peers import PeerPicker
 from chicorycart.configuration.peers import PeerTable
 from chicorycart.defaults import MAX_ENCODED_RUMOURS
@@ -23,6 +22,7 @@
 from chicorycart.defaults import RUMOUR_FANOUT
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Sender
+from chicorycart.pace import TokenBucket
 
 DATAGRAM_OVERHEAD_BYTES = 29
 
--- a/chicorycart/configuration/service_follower.py
+++ b/chicorycart/configuration/service_follower.py
@@ -25,7 +25,6 @@
 from chicorycart.configuration.model import Configuration
 from chicorycart.configuration.model import hash_name
 from chicorycart.configuration.model import Service
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.parse import parse_service
 from chicorycart.configuration.peers import Peer
 from chicorycart.configuration.peers import PeerTable
@@ -43,6 +42,7 @@
 from chicorycart.defaults import VERSION_BYTES_PER_SECOND
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Sender
+from chicorycart.pace import TokenBucket
 
 LOGGER = Logger("configuration")
 
--- a/chicorycart/configuration/serving.py
+++ b/chicorycart/configuration/serving.py
@@ -7,7 +7,7 @@
 from chicorycart.configuration.errors import BusyError
 from chicorycart.configuration.keeper import VersionKeeper
 from chicorycart.configuration.messages import encode_delta
-from chicorycart.configuration.pace import TokenBucket
+from chicorycart.pace import TokenBucket
 
 NO_CONTENT = 204
 BAD_REQUEST = 400
--- a/chicorycart/daemon.py
+++ b/chicorycart/daemon.py
@@ -8,7 +8,6 @@
 
 from chicorycart.address import Address
 from chicorycart.clock import LoopClock
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.peers import PeerTable
 from chicorycart.configuration.platform import PlatformClient
 from chicorycart.configuration.store import ConfigurationStore
@@ -26,6 +25,7 @@
 from chicorycart.membership.instances import InstanceSubscriber
 from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.sources import KnownSources
+from chicorycart.pace import TokenBucket
 from chicorycart.settings.model import DaemonSettings
 from chicorycart.settings.model import PeerSettings
 
--- a/chicorycart/membership/domains.py
+++ b/chicorycart/membership/domains.py
@@ -11,7 +11,6 @@
 from chicorycart.clock import Clock
 from chicorycart.configuration.model import Configuration
 from chicorycart.configuration.model import Target
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.defaults import DOMAIN_CHECK_SECONDS
 from chicorycart.defaults import DOMAIN_DRAWN_AGENTS
 from chicorycart.defaults import DOMAIN_PROBES
@@ -25,6 +24,7 @@
 from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.suspicions import SuspicionBook
 from chicorycart.membership.suspicions import SuspicionSubscriber
+from chicorycart.pace import TokenBucket
 
 LOGGER = Logger("membership")
 
--- a/chicorycart/membership/evidence.py
+++ b/chicorycart/membership/evidence.py
@@ -7,7 +7,6 @@
 from chicorycart.address import Address
 from chicorycart.address import unpack_address
 from chicorycart.clock import Clock
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.defaults import GOSSIP_SECONDS
 from chicorycart.defaults import MAX_SUSPICIONS
 from chicorycart.defaults import PROBE_SECONDS
@@ -18,11 +17,12 @@
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Sender
 from chicorycart.membership.heartbeats import OwnHeartbeat
-from chicorycart.membership.messages import decode_heartbeat
+from chicorycart.membership.heartbeats import take_heartbeat
 from chicorycart.membership.messages import encode_suspicions
 from chicorycart.membership.messages import SuspicionMessage
 from chicorycart.membership.messages import SuspicionRecord
 from chicorycart.membership.suspicions import SuspicionBook
+from chicorycart.pace import TokenBucket
 
 LOGGER = Logger("membership")
 
@@ -152,11 +152,7 @@
         MembershipMessageError
             If it cannot be read or is not credible.
         """
-        heartbeat = decode_heartbeat(body, source)
-        if heartbeat.wants_answer:
-            self.sender.send(
-                MessageKind.HEARTBEAT, self.own.encode_next(), source
-            )
+        heartbeat = take_heartbeat(body, source, self.own, self.sender)
         for subscriber in self.subscribers:
             subscriber.note_answer(heartbeat.sender)
         self.cases.pop(heartbeat.sender, None)
--- a/chicorycart/membership/gossip.py
+++ b/chicorycart/membership/gossip.py
@@ -7,7 +7,6 @@
 from prometheus_client import Gauge
 
 from chicorycart.address import Address
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.defaults import GOSSIP_RECORDS
 from chicorycart.defaults import GOSSIP_SECONDS
 from chicorycart.defaults import HEARTBEAT_JITTER_SHARE
@@ -22,6 +21,7 @@
 from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.peers import PeerChoice
 from chicorycart.membership.suspicions import SuspicionBook
+from chicorycart.pace import TokenBucket
 
 
 def measure_message(records: list[SuspicionRecord]) -> int:
--- a/chicorycart/membership/heartbeats.py
+++ b/chicorycart/membership/heartbeats.py
@@ -1,7 +1,11 @@
 """The heartbeats that the own process sends."""
 
+from chicorycart.address import Address
 from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.links.datagrams import MessageKind
+from chicorycart.links.datagrams import Sender
 from chicorycart.membership.incarnation import Incarnation
+from chicorycart.membership.messages import decode_heartbeat
 from chicorycart.membership.messages import encode_heartbeat
 from chicorycart.membership.messages import Heartbeat
 from chicorycart.placement.load import Load
@@ -72,3 +76,19 @@
             wants_answer,
         )
         return encode_heartbeat(heartbeat)
+
+
+def take_heartbeat(
+    body: bytes, source: Address, own: OwnHeartbeat, sender: Sender
+) -> Heartbeat:
+    """Read a heartbeat; answer it if asked to.
+
+    Raises
+    ------
+    MembershipMessageError
+        If it cannot be read or is not credible.
+    """
+    heartbeat = decode_heartbeat(body, source)
+    if heartbeat.wants_answer:
+        sender.send(MessageKind.HEARTBEAT, own.encode_next(), source)
+    return heartbeat
--- a/chicorycart/membership/monitor.py
+++ b/chicorycart/membership/monitor.py
@@ -13,8 +13,8 @@
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Sender
 from chicorycart.membership.heartbeats import OwnHeartbeat
+from chicorycart.membership.heartbeats import take_heartbeat
 from chicorycart.membership.mates import MateTable
-from chicorycart.membership.messages import decode_heartbeat
 from chicorycart.membership.messages import decode_suspicions
 from chicorycart.membership.messages import NO_SERVICE
 from chicorycart.membership.paths import MatePaths
@@ -121,11 +121,7 @@
         MembershipMessageError
             If it cannot be read or is not credible.
         """
-        heartbeat = decode_heartbeat(body, source)
-        if heartbeat.wants_answer:
-            self.sender.send(
-                MessageKind.HEARTBEAT, self.own.encode_next(), source
-            )
+        heartbeat = take_heartbeat(body, source, self.own, self.sender)
         if heartbeat.service == NO_SERVICE:
             self.reporter.note_answer()
         else:
--- a/measure/membership.py
+++ b/measure/membership.py
@@ -18,7 +18,6 @@
 from chicorycart.address import Address
 from chicorycart.address import pack_address
 from chicorycart.clock import LoopClock
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.defaults import EARLY_REPORTS
 from chicorycart.defaults import GOSSIP_PEERS
@@ -48,6 +47,7 @@
 from chicorycart.membership.pauses import PauseDetector
 from chicorycart.membership.peers import FlatPeers
 from chicorycart.membership.suspicions import SuspicionBook
+from chicorycart.pace import TokenBucket
 from tests.standins.datagrams import AnySource
 from tests.standins.datagrams import MemoryNetwork
 from tests.standins.datagrams import MemorySocket
--- a/tests/configuration/builders.py
+++ b/tests/configuration/builders.py
@@ -9,11 +9,11 @@
 from chicorycart.configuration.follow import PlatformReader
 from chicorycart.configuration.keeper import VersionKeeper
 from chicorycart.configuration.metrics import ConfigurationMetrics
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.platform import PlatformClient
 from chicorycart.configuration.store import ConfigurationStore
 from chicorycart.defaults import READER_CALLS_BURST
 from chicorycart.defaults import READER_CALLS_PER_SECOND
+from chicorycart.pace import TokenBucket
 from tests.standins.platform import encode
 from tests.standins.platform import PlatformValues
 
--- a/tests/configuration/fleet.py
+++ b/tests/configuration/fleet.py
@@ -14,7 +14,6 @@
 from chicorycart.configuration.errors import PeerError
 from chicorycart.configuration.exchange import VersionExchange
 from chicorycart.configuration.messages import decode_delta
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.peers import DomainPicker
 from chicorycart.configuration.peers import PeerTable
 from chicorycart.configuration.platform import PlatformClient
@@ -23,6 +22,7 @@
 from chicorycart.defaults import READER_CALLS_BURST
 from chicorycart.defaults import READER_CALLS_PER_SECOND
 from chicorycart.links.datagrams import MessageKind
+from chicorycart.pace import TokenBucket
 from tests.standins.platform import PlatformValues
 
 DELAY_SECONDS = (0.001, 0.003)
--- a/tests/configuration/peers_steps.py
+++ b/tests/configuration/peers_steps.py
@@ -15,12 +15,12 @@
 from chicorycart.configuration.keeper import VersionKeeper
 from chicorycart.configuration.metrics import ConfigurationMetrics
 from chicorycart.configuration.model import Configuration
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.parse import parse_service
 from chicorycart.configuration.peer_client import PeerClient
 from chicorycart.configuration.serving import DeltaServer
 from chicorycart.configuration.serving import list_routes
 from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.pace import TokenBucket
 from tests.configuration.builders import publish
 from tests.configuration.builders import publish_many
 from tests.configuration.fleet import ListedInstance
--- a/tests/configuration/spec_steps.py
+++ b/tests/configuration/spec_steps.py
@@ -16,9 +16,9 @@
 from chicorycart.configuration.messages import decode_delta
 from chicorycart.configuration.messages import encode_delta
 from chicorycart.configuration.metrics import ConfigurationMetrics
-from chicorycart.configuration.pace import TokenBucket
 from chicorycart.configuration.platform import PlatformClient
 from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.pace import TokenBucket
 from tests.configuration import spec
 from tests.configuration.builders import publish
 from tests.configuration.builders import publish_many
