Hold a starting balancer back until agents hear it

Cause: agents take messages of listed instances only, and the list lags. A balancer on a new address was ready at once, so its share of all packets was lost until every agent had read the list. Ruled out: taking messages of unlisted instances, and vouching among balancers, which both weaken the check.

--- a/chicorycart/balancer/daemon.py
+++ b/chicorycart/balancer/daemon.py
@@ -68,8 +68,13 @@
         self.stopping = False
 
     def is_ready(self) -> bool:
-        """Tell whether the highest version is in force and no stop began."""
-        return self.versions.is_serving and not self.stopping
+        """Tell whether packets from the fabric reach the agents.
+
+        For that the highest version is in force, agents take the messages
+        of this process, and no stop began.
+        """
+        is_heard = self.membership.heard.is_open
+        return self.versions.is_serving and is_heard and not self.stopping
 
     def describe_status(self) -> dict[str, Any]:
         """Return name, role and version in force."""
--- a/chicorycart/balancer/membership.py
+++ b/chicorycart/balancer/membership.py
@@ -18,6 +18,7 @@
 from chicorycart.membership.domains import DomainWatch
 from chicorycart.membership.evidence import Evidence
 from chicorycart.membership.gossip import Gossip
+from chicorycart.membership.heard import HeardGate
 from chicorycart.membership.heartbeats import NoLoad
 from chicorycart.membership.heartbeats import OwnHeartbeat
 from chicorycart.membership.incarnation import Incarnation
@@ -62,6 +63,8 @@
         These, and the agents of suspected failure domains.
     balancers : Balancers
         To be told of each instance list.
+    heard : HeardGate
+        Whether agents take messages of this process.
     """
 
     __slots__ = (
@@ -72,6 +75,7 @@
         "gossip",
         "prober",
         "domains",
+        "heard",
     )
 
     def __init__(
@@ -111,6 +115,8 @@
             clock, self.suspicions, own, link, probes, random
         )
         evidence.subscribe(self.domains)
+        self.heard = HeardGate(own, link, random)
+        evidence.subscribe(self.heard)
         link.register(MessageKind.HEARTBEAT, evidence)
         link.register(MessageKind.SUSPICION, self.gossip)
 
@@ -125,4 +131,5 @@
             create_task(self.gossip.run(self.detector, self.random)),
             create_task(self.prober.run(self.detector)),
             create_task(self.domains.run(self.detector)),
+            create_task(self.heard.run(self.detector)),
         ]
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -39,6 +39,7 @@
     await world.kill("balancer-2")
     seen = await book_many(world, "first")
     echo("start balancer-4")
+    world.list_balancer(BALANCERS + 1)
     await world.start_balancer(BALANCERS + 1)
     echo("drain dispatch-3 and bookings-3")
     world.change_target("dispatch", "dispatch-3", state="draining")
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -5,6 +5,7 @@
 from asyncio import wait_for
 from asyncio.subprocess import Process
 from json import dumps
+from json import loads
 from pathlib import Path
 from random import Random
 from signal import SIGKILL
@@ -81,6 +82,7 @@
         self.platform.patch(
             0, {name: plan.publish() for name, plan in self.services.items()}
         )
+        self.list_planned()
         self.fabric.start()
         for number in range(1, balancers + 1):
             await self.start_balancer(number, wait=False)
@@ -92,6 +94,24 @@
         for name in list(self.processes):
             await self.wait_ready(name)
 
+    def list_planned(self) -> None:
+        """Put all that is to be started on the platform's list."""
+        for number in range(1, len(self.seeds) + 1):
+            self.list_balancer(number)
+        for plan in self.services.values():
+            for member, host in enumerate(plan.hosts):
+                place = {
+                    "data": str(host.data),
+                    "region": plan.region,
+                    "domain": plan.domain(member),
+                }
+                self.list_instance(plan.target_name(member), "agent", place)
+
+    def list_balancer(self, number: int) -> None:
+        """Put a balancer on the platform's list."""
+        seed = self.plan_seed(number)
+        self.list_instance(seed["name"], "balancer", seed)
+
     def start_target(self, plan: ServicePlan, member: int) -> None:
         """Start a target and the host that it runs on."""
         name = plan.target_name(member)
@@ -119,7 +139,6 @@
             self.network.place(1, number, CONTROL_PORT),
         )
         settings["fabric"] = str(fabric)
-        self.list_instance(name, "balancer", settings)
         await self.start_daemon("balancer", name, settings)
         if wait:
             await self.wait_ready(name)
@@ -154,7 +173,6 @@
         settings["backend"] = str(layout.backend)
         if plan.kind == "http":
             settings["gateway"] = str(layout.gateway)
-        self.list_instance(name, "agent", settings)
         await self.start_daemon("agent", name, settings)
         if wait:
             await self.wait_ready(name)
@@ -223,6 +241,18 @@
         """Wait until a daemon says that it is ready."""
         await self.wait_until(lambda: self.is_ready(name), READY_SECONDS)
 
+    async def wait_serving(self, name: str) -> None:
+        """Wait until a daemon has a version in force."""
+
+        async def has_version() -> bool:
+            try:
+                status = loads(await self.read_status(name))
+            except (HTTPClientError, OSError):
+                return False
+            return status["version"] > 0
+
+        await self.wait_until(has_version, READY_SECONDS)
+
     async def is_ready(self, name: str) -> bool:
         """Ask a daemon whether it is ready."""
         try:
