--- /dev/null
+++ b/tests/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that the measurements measure what they say."""
