--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -302,7 +302,9 @@
             for address in self.fabric.balancers
             if address.host != host
         ]
-        return await wait_for(self.processes.pop(name).wait(), STOP_SECONDS)
+        code = await wait_for(self.processes[name].wait(), STOP_SECONDS)
+        del self.processes[name]
+        return code
 
     def change_target(self, service: str, name: str, **changes: Any) -> int:
         """Publish a version in which one target is changed."""
