--- a/chicorycart/agent/daemon.py
+++ b/chicorycart/agent/daemon.py
@@ -190,7 +190,7 @@
         """Take no new work and let all that was begun end.
 
         The packets of a flow are needed for as long as its answer is under
-        way, so the flows are waited for after the requests.
+        way, so flows are waited for as well as requests.
         """
         self.stopping = True
         self.acceptance.is_stopping = True
