Remove two defaults that nothing reads any more

They belonged to the adoption of unowned flows, which was dropped when agents began to take their flows back from the kernel. Checked by looking for every default's name in the package, the measurements and the tests.

--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -459,12 +459,6 @@
 KEEPALIVE_TIMEOUT_SECONDS = 7.0
 """Silence after which a connection is closed."""
 
-ADOPTION_SECONDS = 7_200.0
-"""Time after a start in which flows that nobody owns are adopted."""
-
-ADOPTED_FLOW_SECONDS = 60.0
-"""Time for which an adopted flow is owned without a second packet."""
-
 DOMAIN_SUSPECTS = 3
 """Suspected agents of a failure domain on which the domain is checked."""
 
