Keep one copy of what runs a daemon and of each protocol of sockets

Socket and OpenSocket, CallerSocket and PacketSocket were pairs of one protocol. The agent looked a flow up twice for each answer; a flow kept three empty sets (216 bytes each), now lists; the names of removed targets were kept without bound until the next whole read.

--- a/chicorycart/commands/daemon.py
+++ b/chicorycart/commands/daemon.py
@@ -1,13 +1,8 @@
 """The command line ``chicorycartd``: one daemon a process."""
 
-from asyncio import Event
-from asyncio import get_running_loop
 from asyncio import run
 from pathlib import Path
-from signal import SIGINT
-from signal import SIGTERM
 from typing import Annotated
-from typing import Protocol
 
 from typer import echo
 from typer import Exit
@@ -18,6 +13,7 @@
 from chicorycart.balancer.daemon import Balancer
 from chicorycart.errors import ChicorycartError
 from chicorycart.operation.logs import start_log
+from chicorycart.operation.running import serve
 from chicorycart.settings.errors import SettingsError
 from chicorycart.settings.load import load_agent_settings
 from chicorycart.settings.load import load_balancer_settings
@@ -35,13 +31,6 @@
 ]
 
 
-class Daemon(Protocol):
-    """A balancer or an agent."""
-
-    async def run(self, stop: Event) -> None:
-        """Serve until the event is set."""
-
-
 @application.command()
 def balancer(settings: SettingsFile) -> None:
     """Take callers' packets from the fabric and forward them."""
@@ -64,16 +53,6 @@
         fail(error)
 
 
-async def serve(make_daemon) -> None:
-    """Run one daemon until SIGTERM or SIGINT."""
-    stop = Event()
-    loop = get_running_loop()
-    for signal in (SIGTERM, SIGINT):
-        loop.add_signal_handler(signal, stop.set)
-    daemon: Daemon = make_daemon()
-    await daemon.run(stop)
-
-
 def fail(error: ChicorycartError) -> None:
     """Print what is wrong and end the process."""
     echo(str(error), err=True)
--- a/chicorycart/links/peers.py
+++ b/chicorycart/links/peers.py
@@ -12,26 +12,11 @@
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Receiver
 from chicorycart.links.errors import LinkError
-from chicorycart.links.sockets import Taker
+from chicorycart.links.sockets import OpenSocket
 
 LOGGER = Logger("links")
 
 
-class Socket(Protocol):
-    """A bound datagram socket."""
-
-    address: Address
-
-    def start(self, taker: Taker) -> None:
-        """Hand every datagram to the taker."""
-
-    def send(self, data: bytes, destination: Address) -> bool:
-        """Send one datagram; return False if it was not taken."""
-
-    def close(self) -> None:
-        """Release the socket."""
-
-
 class PathMover(Protocol):
     """Something that can send to a peer from another port."""
 
@@ -57,10 +42,12 @@
 
     __slots__ = ("main", "open_socket", "moved")
 
-    def __init__(self, main: DatagramLink, open_socket: Callable[[], Socket]):
+    def __init__(
+        self, main: DatagramLink, open_socket: Callable[[], OpenSocket]
+    ):
         self.main = main
         self.open_socket = open_socket
-        self.moved: OrderedDict[Address, Socket] = OrderedDict()
+        self.moved: OrderedDict[Address, OpenSocket] = OrderedDict()
 
     def register(self, kind: MessageKind, receiver: Receiver) -> None:
         """Hand the messages of one kind to the receiver."""
--- a/chicorycart/links/sockets.py
+++ b/chicorycart/links/sockets.py
@@ -24,6 +24,13 @@
         """Take one datagram; raises nothing."""
 
 
+class PacketSender(Protocol):
+    """A socket that packets leave by."""
+
+    def send(self, data: bytes, destination: Address) -> bool:
+        """Send one datagram; return False if it was not taken."""
+
+
 class OpenSocket(Protocol):
     """A bound datagram socket.
 
--- a/chicorycart/operation/endpoints.py
+++ b/chicorycart/operation/endpoints.py
@@ -12,6 +12,7 @@
 from tornado.web import URLSpec
 
 from chicorycart.address import Address
+from chicorycart.operation.status import StatusSource
 
 UNAVAILABLE = 503
 
@@ -23,16 +24,6 @@
         """Return every metric."""
 
 
-class StatusSource(Protocol):
-    """A daemon that can tell how it is."""
-
-    def is_ready(self) -> bool:
-        """Tell whether the daemon takes new work."""
-
-    def describe_status(self) -> dict[str, Any]:
-        """Return the status as JSON values."""
-
-
 class MetricsHandler(RequestHandler):
     """Answers with the metrics in the Prometheus text format."""
 
--- a/chicorycart/platform/start.py
+++ b/chicorycart/platform/start.py
@@ -1,8 +1,10 @@
 """Starts a balancer or an agent on the platform."""
 
+from asyncio import get_running_loop
 from asyncio import run
 import gc
 from os import getpid
+from signal import SIGHUP
 
 from logbook import Logger
 
@@ -40,9 +42,15 @@
     # What is loaded stays; the collector need not look at it again.
     gc.freeze()
     gc.enable()
+    get_running_loop().add_signal_handler(SIGHUP, note_hangup)
     await serve(lambda: daemon)
 
 
+def note_hangup() -> None:
+    """Log that the settings changed; they are read at the next start."""
+    LOGGER.info("event=settings_changed in_force={!r}", "at the next start")
+
+
 def start() -> int:
     """Run until told to stop; return the exit code."""
     start_log(LogSettings())
--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -1,5 +1,7 @@
 """The targets of each service, as far as the store tells."""
 
+from collections import OrderedDict
+
 from logbook import Logger
 
 from chicorycart.address import Address
@@ -7,6 +9,7 @@
 from chicorycart.configuration.model import Target
 from chicorycart.configuration.model import TargetState
 from chicorycart.steering.limits import LAPSE_SECONDS
+from chicorycart.steering.limits import MAX_REMOVED
 from chicorycart.steering.published import ListedState
 from chicorycart.steering.published import Listing
 from chicorycart.steering.published import ListingChange
@@ -115,7 +118,7 @@
         self.agent_port = agent_port
         self.lapse_seconds = lapse_seconds
         self.members: dict[str, Member] = {}
-        self.removed: dict[str, int] = {}
+        self.removed: OrderedDict[str, int] = OrderedDict()
         self.services: dict[str, dict[str, Member]] = {}
         self.by_agent: dict[str, Member] = {}
         self.flow_seconds = flow_seconds
@@ -146,7 +149,7 @@
         other = self.by_agent.get(listing.address.host)
         if other is not None and other.listing.name != listing.name:
             if is_older(listing, revision, other):
-                self.removed[listing.name] = revision
+                self.note_removed(listing.name, revision)
                 return
             self.release_address(other, listing.name)
         known = self.members.get(listing.name)
@@ -188,12 +191,19 @@
             name,
             f"address taken over by {successor}",
         )
-        self.removed[name] = member.revision
+        self.note_removed(name, member.revision)
         self.discard(member)
 
+    def note_removed(self, name: str, revision: int) -> None:
+        """Remember the revision below which news of a target is old."""
+        self.removed[name] = revision
+        self.removed.move_to_end(name)
+        if len(self.removed) > MAX_REMOVED:
+            self.removed.popitem(last=False)
+
     def remove(self, name: str, revision: int, reason: str) -> None:
         """Take note that an entry is gone."""
-        self.removed[name] = revision
+        self.note_removed(name, revision)
         member = self.members.get(name)
         if member is None or member.lapses_at is not None:
             return
--- a/chicorycart/steering/flows.py
+++ b/chicorycart/steering/flows.py
@@ -35,13 +35,13 @@
         Time of the first offer of its opening packet.
     tried : list of Address
         Agents that an opening packet was offered to.
-    declined : set of Address
+    declined : list of Address
         Agents that declined it because of their load.
     accepted : dict of int to Address
         Agents whose hosts accepted it, by the host's sequence number.
-    missed : set of Address
+    missed : list of Address
         Agents whose hosts do not hold the open flow.
-    doubted : set of Address
+    doubted : list of Address
         Agents that the open flow was sent to without any sign of it.
     timer : TimerHandle or None
         Waits for word of an opening packet.
@@ -78,10 +78,10 @@
         self.last_sequence: int | None = None
         self.offered_at = 0.0
         self.tried: list[Address] = []
-        self.declined: set[Address] = set()
+        self.declined: list[Address] = []
         self.accepted: dict[int, Address] = {}
-        self.missed: set[Address] = set()
-        self.doubted: set[Address] = set()
+        self.missed: list[Address] = []
+        self.doubted: list[Address] = []
         self.timer: TimerHandle | None = None
 
     def stop_timer(self) -> None:
--- a/chicorycart/steering/hosted.py
+++ b/chicorycart/steering/hosted.py
@@ -107,13 +107,11 @@
     def note_inbound(self, segment: Segment, balancer: Address) -> None:
         """Take note of a caller's packet that goes to the host."""
         now = self.clock.now()
-        state = self.flows.get(segment.flow)
+        state = self.find(segment.flow)
         if state is None:
             state = self.flows[segment.flow] = HostedFlow(balancer, now)
             if len(self.flows) > MAX_FLOWS:
                 self.drop(next(iter(self.flows)))
-        else:
-            self.flows.move_to_end(segment.flow)
         state.balancer = balancer
         state.seen_at = now
         if segment.is_opening and self.waiting_since is None:
@@ -123,26 +121,21 @@
             state.asked_at = now
             self.average()
             self.in_progress += 1
-        if segment.is_opening or not segment.payload_bytes:
-            return
-        state.asked_at = now
+        if segment.payload_bytes and not segment.is_opening:
+            state.asked_at = now
 
-    def find_asked(self, flow: bytes) -> float | None:
-        """Return when the host was asked what it has not answered yet."""
+    def find(self, flow: bytes) -> HostedFlow | None:
+        """Return a flow, and mark it as used."""
         state = self.flows.get(flow)
-        return None if state is None else state.asked_at
+        if state is not None:
+            self.flows.move_to_end(flow)
+        return state
 
-    def note_outbound(self, segment: Segment) -> HostedFlow | None:
+    def note_outbound(self, state: HostedFlow, segment: Segment) -> None:
         """Take note of a packet that the host sent to a caller."""
-        state = self.flows.get(segment.flow)
-        if state is None:
-            return None
-        now = self.clock.now()
-        state.seen_at = now
-        self.flows.move_to_end(segment.flow)
-        if segment.payload_bytes and state.asked_at is not None:
+        state.seen_at = self.clock.now()
+        if segment.payload_bytes:
             self.finish(state)
-        return state
 
     def finish(self, state: HostedFlow) -> None:
         """Take note that the host works on nothing for a flow."""
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -76,6 +76,10 @@
 """Time for which a target that vanished from the store unannounced is used
 behind all others; live ones are listed again within this time."""
 
+MAX_REMOVED = 4_096
+"""Names of removed targets whose last revision is remembered, so that an old
+watch cannot list them again; all hosts of a hundred services restarted."""
+
 SWEEP_SECONDS = 1.0
 """Time between two removals of flows that have gone silent."""
 
--- a/chicorycart/steering/output.py
+++ b/chicorycart/steering/output.py
@@ -1,11 +1,9 @@
 """What a balancer sends: packets to agents and resets to callers."""
 
-from typing import Protocol
-
-from chicorycart.address import Address
 from chicorycart.configuration.model import hash_name
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Sender
+from chicorycart.links.sockets import PacketSender
 from chicorycart.operation.events import EventLog
 from chicorycart.operation.metrics import Metrics
 from chicorycart.packets.flow import describe_flow
@@ -19,13 +17,6 @@
 NO_LIMIT = 0
 
 
-class CallerSocket(Protocol):
-    """Where packets for callers leave."""
-
-    def send(self, data: bytes, destination: Address) -> bool:
-        """Send one datagram; return False if it was not taken."""
-
-
 class SteererOutput:
     """Sends for the parts of a balancer, and counts and logs it.
 
@@ -39,7 +30,7 @@
         Forgets flows that are reset.
     sender : Sender
         Sends to agents.
-    callers : CallerSocket
+    callers : PacketSender
         Sends to callers.
     events : EventLog
         Logs what becomes of flows.
@@ -63,7 +54,7 @@
         follower: StoreFollower,
         flows: FlowMemory,
         sender: Sender,
-        callers: CallerSocket,
+        callers: PacketSender,
         events: EventLog,
         metrics: Metrics,
     ):
--- a/chicorycart/steering/pages.py
+++ b/chicorycart/steering/pages.py
@@ -1,6 +1,7 @@
 """Pages of readiness, metrics and status of a daemon that steers flows."""
 
 from chicorycart.operation.metrics import Metrics
+from chicorycart.operation.status import StatusSource
 from chicorycart.steering.settings import SteeringSettings
 
 
@@ -19,7 +20,12 @@
 
     __slots__ = ("settings", "metrics", "source", "servers")
 
-    def __init__(self, settings: SteeringSettings, metrics: Metrics, source):
+    def __init__(
+        self,
+        settings: SteeringSettings,
+        metrics: Metrics,
+        source: StatusSource,
+    ):
         self.settings = settings
         self.metrics = metrics
         self.source = source
--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -191,7 +191,7 @@
             return
         state.stop_timer()
         if reason is ReturnReason.BUSY:
-            state.declined.add(agent)
+            state.declined.append(agent)
         self.place(state, segment)
         if state.timer is None:
             self.parked.drop(state.flow)
--- a/chicorycart/steering/relay.py
+++ b/chicorycart/steering/relay.py
@@ -1,11 +1,10 @@
 """Passes packets between balancers, an agent's own host and callers."""
 
-from typing import Protocol
-
 from chicorycart.address import Address
 from chicorycart.configuration.model import hash_name
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Sender
+from chicorycart.links.sockets import PacketSender
 from chicorycart.operation.events import EventLog
 from chicorycart.operation.metrics import Metrics
 from chicorycart.packets.errors import PacketError
@@ -22,13 +21,6 @@
 from chicorycart.steering.messages import ReturnReason
 
 
-class PacketSocket(Protocol):
-    """A socket towards the host or the callers."""
-
-    def send(self, data: bytes, destination: Address) -> bool:
-        """Send one datagram; return False if it was not taken."""
-
-
 class Relay:
     """Hands callers' packets to the own host and its packets to callers.
 
@@ -47,7 +39,7 @@
         Flows that pass here.
     sender : Sender
         Sends to balancers.
-    socket : PacketSocket
+    socket : PacketSender
         Sends to the host and to callers.
     events : EventLog
         Logs what becomes of flows.
@@ -77,7 +69,7 @@
         codec: SegmentCodec,
         flows: HostedFlows,
         sender: Sender,
-        socket: PacketSocket,
+        socket: PacketSender,
         events: EventLog,
         metrics: Metrics,
     ):
@@ -144,10 +136,11 @@
             return
         self.count("answered")
         self.socket.send(data, self.codec.find_caller(segment.flow))
-        asked_at = self.flows.find_asked(segment.flow)
-        state = self.flows.note_outbound(segment)
+        state = self.flows.find(segment.flow)
         if state is None:
             return
+        asked_at = state.asked_at
+        self.flows.note_outbound(state, segment)
         if asked_at is not None:
             self.measure(segment, state.seen_at - asked_at)
         if segment.is_accepting or state.informed != state.balancer:
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -86,7 +86,7 @@
         ]
         if not left:
             return False
-        if state.doubted.issuperset(left):
+        if all(agent in state.doubted for agent in left):
             state.doubted.clear()
         left.sort(key=self.health.is_suspended)
         state.agent = next(a for a in left if a not in state.doubted)
@@ -99,7 +99,7 @@
             return
         if segment.sequence == state.last_sequence:
             before = state.agent
-            state.doubted.add(before)
+            state.doubted.append(before)
             self.advance(state)
             self.output.record(
                 "flow_doubted",
@@ -121,7 +121,8 @@
         self, state: SteeredFlow, segment: Segment, agent: Address
     ) -> None:
         """Look elsewhere, since an agent's host does not hold the flow."""
-        state.missed.add(agent)
+        if agent not in state.missed:
+            state.missed.append(agent)
         if state.agent == agent:
             if not self.advance(state):
                 self.give_up(state, segment)
