Forget flows at a balancer after the configured silence

Cause: the configuration's idle time was decoded and read by nothing, and a balancer kept every flow until the table was full (65,536). It now drops the flows that were silent for that long, or for the flow's lifetime if the configuration says nothing; one that wakes is searched for like any unknown flow.

--- a/chicorycart/steering/balancer.py
+++ b/chicorycart/steering/balancer.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task
 from asyncio import Event
+from asyncio import sleep
 from asyncio import Task
 from asyncio import timeout
 from random import Random
@@ -32,6 +33,7 @@
 from chicorycart.steering.limits import RETRY_INITIAL_SECONDS
 from chicorycart.steering.limits import RETRY_MAX_SECONDS
 from chicorycart.steering.limits import STOP_MARGIN_SECONDS
+from chicorycart.steering.limits import SWEEP_SECONDS
 from chicorycart.steering.limits import WATCH_BOUND_SHARE
 from chicorycart.steering.limits import WATCH_SECONDS
 from chicorycart.steering.output import SteererOutput
@@ -94,7 +96,7 @@
             self.link_socket, self.directory, tally_dropped(self.metrics)
         )
         health = HealthTable(clock, events)
-        self.flows = FlowMemory()
+        self.flows = FlowMemory(clock)
         self.steerer = self.build_steerer(codec, health, events)
         self.link.register(
             MessageKind.FLOW_REPORT, ReportReceiver(self.steerer)
@@ -205,8 +207,16 @@
             create_task(self.follower.run()),
             create_task(self.serve_fabric()),
             create_task(self.prober.run()),
+            create_task(self.sweep()),
         ]
 
+    async def sweep(self) -> None:
+        """Forget silent flows for as long as the balancer runs."""
+        while True:
+            await sleep(SWEEP_SECONDS)
+            idle_seconds = self.follower.routes.current.idle_seconds
+            self.flows.sweep(idle_seconds or self.settings.bounds.flow_seconds)
+
     async def serve_fabric(self) -> None:
         """Take callers' packets once routes and targets are known."""
         await self.follower.serving.wait()
--- a/chicorycart/steering/flows.py
+++ b/chicorycart/steering/flows.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict
 
 from chicorycart.address import Address
+from chicorycart.clock import Clock
 from chicorycart.steering.limits import MAX_FLOWS
 
 
@@ -33,6 +34,8 @@
         Sequence number of the caller's last data.
     offered_at : float
         Time of the first offer of its opening packet.
+    seen_at : float
+        Time of the last packet or word of the flow.
     tried : list of Address
         Agents that an opening packet was offered to.
     declined : list of Address
@@ -58,6 +61,7 @@
         "copies",
         "last_sequence",
         "offered_at",
+        "seen_at",
         "tried",
         "declined",
         "accepted",
@@ -77,6 +81,7 @@
         self.copies = 0
         self.last_sequence: int | None = None
         self.offered_at = 0.0
+        self.seen_at = 0.0
         self.tried: list[Address] = []
         self.declined: list[Address] = []
         self.accepted: dict[int, Address] = {}
@@ -96,13 +101,16 @@
 
     Parameters
     ----------
+    clock : Clock
+        Measures silence.
     limit : int, optional
         Flows that are kept; the one silent for longest goes first.
     """
 
-    __slots__ = ("limit", "flows")
+    __slots__ = ("clock", "limit", "flows")
 
-    def __init__(self, limit: int = MAX_FLOWS):
+    def __init__(self, clock: Clock, limit: int = MAX_FLOWS):
+        self.clock = clock
         self.limit = limit
         self.flows: OrderedDict[bytes, SteeredFlow] = OrderedDict()
 
@@ -113,6 +121,7 @@
         """Return a flow that is remembered, and mark it as used."""
         state = self.flows.get(flow)
         if state is not None:
+            state.seen_at = self.clock.now()
             self.flows.move_to_end(flow)
         return state
 
@@ -120,10 +129,20 @@
         """Remember a new flow in place of an earlier one of its name."""
         self.drop(flow)
         state = self.flows[flow] = SteeredFlow(flow, service)
+        state.seen_at = self.clock.now()
         if len(self.flows) > self.limit:
             self.drop(next(iter(self.flows)))
         return state
 
+    def sweep(self, silent_seconds: float) -> None:
+        """Forget the flows that were silent for longer than some seconds."""
+        oldest = self.clock.now() - silent_seconds
+        while self.flows:
+            flow, state = next(iter(self.flows.items()))
+            if state.seen_at >= oldest:
+                return
+            self.drop(flow)
+
     def drop(self, flow: bytes) -> None:
         """Forget a flow."""
         state = self.flows.pop(flow, None)
--- a/measure/steering.py
+++ b/measure/steering.py
@@ -85,7 +85,7 @@
         output = SteererOutput(
             codec,
             follower,
-            FlowMemory(),
+            FlowMemory(clock),
             self.to_agent,
             LastSent(),
             events,
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -81,13 +81,13 @@
         for number in range(1, balancers + 1):
             self.add_balancer(f"b{number}")
 
-    def configure(self, version, services):
+    def configure(self, version, services, idle_seconds=None):
         """Publish which entry leads to which service."""
         routes = [
             Route(make_entry(entry), ((service, 1.0),))
             for entry, service in services.items()
         ]
-        self.store.configure(RouteTable(version, routes))
+        self.store.configure(RouteTable(version, routes, idle_seconds))
 
     def add_balancer(self, name):
         """Start a balancer and take it into rotation."""
--- a/tests/steering/flows.feature
+++ b/tests/steering/flows.feature
@@ -132,3 +132,11 @@
     When the agent of "h1" is told to stop
     And 10 callers ask one after the other
     Then host "h2" ran at least 10 requests
+
+  Scenario: A balancer forgets flows that are silent for the configured time
+    Given a fleet of 3 hosts and 1 balancers
+    And 12 open flows
+    When flows may be forgotten after 15 s of silence and 1 flow goes on for 18 s
+    Then balancer "b1" remembers 1 flows
+    And every open flow gets an answer from its host
+    And no caller was reset
--- a/tests/steering/flows_steps.py
+++ b/tests/steering/flows_steps.py
@@ -18,6 +18,7 @@
 from tests.standins.ends import ENTRY
 from tests.standins.ends import make_head
 from tests.standins.steered import LINK_PORT
+from tests.standins.steered import SERVICE
 from tests.standins.steered import SteeredFleet
 
 
@@ -386,3 +387,24 @@
 @when('the agent of "{name}" is told to stop')
 def stop_agent(context, name):
     context.fleet.agents[name].relay.is_stopping = True
+
+
+@when(
+    "flows may be forgotten after {idle:g} s of silence and 1 flow goes on"
+    " for {seconds:d} s"
+)
+def fall_silent(context, idle, seconds):
+    async def go_on():
+        context.fleet.configure(2, {ENTRY: SERVICE}, idle)
+        caller, _ = context.flows[0]
+        for number in range(seconds):
+            assert await caller.ask(b"more-%d" % number) is not None
+            await sleep(1.0)
+
+    context.run(go_on())
+
+
+@then('balancer "{name}" remembers {count:d} flows')
+def check_remembered(context, name, count):
+    flows = len(context.fleet.balancers[name].flows)
+    assert flows == count, flows
--- a/tests/steering/targets.feature
+++ b/tests/steering/targets.feature
@@ -71,3 +71,8 @@
     Then the balancer is not ready
     When version 1 comes and 1 s goes by
     Then the balancer is ready
+
+  Scenario: The names of removed targets take no more room than a limit
+    Given a fleet of 2 hosts and 1 balancers
+    When the removal of 5000 hosts is read
+    Then the balancer remembers at most 4096 removed names
--- a/tests/steering/targets_steps.py
+++ b/tests/steering/targets_steps.py
@@ -10,6 +10,7 @@
 from chicorycart.address import Address
 from chicorycart.steering.published import ListedState
 from chicorycart.steering.published import Listing
+from chicorycart.steering.published import ListingChange
 from tests.standins.ends import ENTRY
 from tests.standins.steered import HOST_PORT
 from tests.standins.steered import OTHER_SERVICE
@@ -263,3 +264,19 @@
 @then("the balancer is ready")
 def check_ready(context):
     assert context.fleet.balancers[BALANCER].is_ready()
+
+
+@when("the removal of {count:d} hosts is read")
+def read_removals(context, count):
+    wait(context, 1.0)
+    directory = known(context)
+    first = context.fleet.store.revision + 1
+    for revision in range(first, first + count):
+        directory.apply(
+            ListingChange(f"i-{revision}", revision, None, "removed")
+        )
+
+
+@then("the balancer remembers at most {count:d} removed names")
+def check_removed(context, count):
+    assert 0 < len(known(context).removed) <= count
