--- a/tests/platform_adapter/store_steps.py
+++ b/tests/platform_adapter/store_steps.py
@@ -1,21 +1,15 @@
 """Steps on the client of the platform's store."""
 
 from asyncio import create_task
-from asyncio import Event
 from asyncio import get_running_loop
 from asyncio import sleep
 from base64 import b64encode
-from json import dumps
 
 from behave import given
 from behave import then
 from behave import when
 from hypothesis import given as for_all
 from hypothesis import strategies
-from tornado.httpserver import HTTPServer
-from tornado.testing import bind_unused_port
-from tornado.web import Application
-from tornado.web import RequestHandler
 
 from chicorycart.links.http import HttpSource
 from chicorycart.platform.items import decode_config
@@ -24,130 +18,20 @@
 from chicorycart.steering.errors import HistoryLostError
 from chicorycart.steering.errors import StoreError
 from chicorycart.steering.published import ListedState
+from tests.standins.kv import encode
+from tests.standins.kv import make_config
+from tests.standins.kv import make_entry
+from tests.standins.kv import serve_store
+from tests.standins.kv import StandInStore
 
-OK = 200
 GONE = 410
 
 
-def make_entry(number, **changes):
-    """Return the value of a host's entry."""
-    entry = {
-        "service": "dispatch",
-        "address": f"10.2.0.{number}:8165",
-        "zone": "riga-a",
-        "version": "v1",
-        "slots": 2,
-        "state": "ready",
-        "coldRemainingMs": 0,
-        "seq": 4,
-        "born": 1000 + number,
-    }
-    return {**entry, **changes}
-
-
-def make_config():
-    """Return a configuration."""
-    return {
-        "version": 7,
-        "routes": [
-            {
-                "name": "r-1",
-                "hostname": "198.18.0.1",
-                "prefix": "/443/",
-                "service": "dispatch",
-            }
-        ],
-        "services": [{"name": "dispatch", "healthPath": "/health"}],
-        "limits": {"idleTimeoutMs": 15000},
-    }
-
-
-def encode(value):
-    """Return a value as the store has it."""
-    return b64encode(dumps(value).encode()).decode()
-
-
-class StandInStore:
-    """Items by key over HTTP, with faults."""
-
-    def __init__(self):
-        self.items = {}
-        self.revision = 0
-        self.page = 500
-        self.status = OK
-        self.watch_status = OK
-        self.answering = Event()
-        self.answering.set()
-        self.changed = Event()
-        self.put("op/config", encode(make_config()))
-        for number in (1, 2, 3):
-            self.put(f"servers/i-{number}", encode(make_entry(number)))
-
-    def put(self, key, value):
-        """Write an item."""
-        self.revision += 1
-        self.items[key] = {
-            "key": key,
-            "value": value,
-            "revision": self.revision,
-            "createRev": self.revision,
-            "lease": 0,
-        }
-        self.changed.set()
-
-    def read_page(self, prefix, after):
-        """Return one page of items."""
-        keys = sorted(
-            k for k in self.items if k.startswith(prefix) and k > after
-        )
-        return {
-            "items": [self.items[k] for k in keys[: self.page]],
-            "hasMore": len(keys) > self.page,
-            "currentRev": self.revision,
-        }
-
-
-class StoreHandler(RequestHandler):
-    """Answers reads and watches."""
-
-    def initialize(self, store):
-        """Take the store."""
-        self.store = store
-
-    async def get(self, call):
-        """Answer one call, in whatever way the scenario wants."""
-        store = self.store
-        await store.answering.wait()
-        self.set_status(store.status)
-        prefix = self.get_query_argument("prefix")
-        after = self.get_query_argument("after", "")
-        if call == "range":
-            self.finish(store.read_page(prefix, after))
-            return
-        if store.watch_status != OK:
-            self.set_status(store.watch_status)
-            self.finish({})
-            return
-        while store.revision <= int(after):
-            store.changed.clear()
-            await store.changed.wait()
-        events = [
-            i for i in store.items.values() if i["revision"] > int(after)
-        ]
-        self.finish({"events": events, "currentRev": store.revision})
-
-
 @given("a stand-in of the store with 3 hosts and a configuration")
 def start_store(context):
     async def start():
         context.store = StandInStore()
-        application = Application(
-            [("/kv-(range|watch)", StoreHandler, {"store": context.store})],
-            log_function=lambda handler: None,
-        )
-        socket, port = bind_unused_port(address="127.0.0.1")
-        context.server = HTTPServer(application)
-        context.server.add_sockets([socket])
+        context.server, port = serve_store(context.store)
         context.client = MetadataStore(
             HttpSource([f"http://127.0.0.1:{port}"])
         )
--- /dev/null
+++ b/tests/standins/kv.py
@@ -0,0 +1,153 @@
+"""Stands in for the platform's store, over HTTP."""
+
+from asyncio import Event
+from base64 import b64encode
+from json import dumps
+
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+OK = 200
+GONE = 410
+
+
+def make_entry(number, **changes):
+    """Return the value of a host's entry."""
+    entry = {
+        "service": "dispatch",
+        "address": f"10.2.0.{number}:8165",
+        "zone": "riga-a",
+        "version": "v1",
+        "slots": 2,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "seq": 4,
+        "born": 1000 + number,
+    }
+    return {**entry, **changes}
+
+
+def make_config():
+    """Return a configuration."""
+    return {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r-1",
+                "hostname": "198.18.0.1",
+                "prefix": "/443/",
+                "service": "dispatch",
+            }
+        ],
+        "services": [{"name": "dispatch", "healthPath": "/health"}],
+        "limits": {"idleTimeoutMs": 15000},
+    }
+
+
+def encode(value):
+    """Return a value as the store has it."""
+    return b64encode(dumps(value).encode()).decode()
+
+
+class StandInStore:
+    """Items by key over HTTP, with faults."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 0
+        self.page = 500
+        self.status = OK
+        self.watch_status = OK
+        self.answering = Event()
+        self.answering.set()
+        self.kept_since = 0
+        self.changed = Event()
+        self.put("op/config", encode(make_config()))
+        for number in (1, 2, 3):
+            self.put(f"servers/i-{number}", encode(make_entry(number)))
+
+    def put(self, key, value):
+        """Write an item."""
+        self.revision += 1
+        self.items[key] = {
+            "key": key,
+            "value": value,
+            "revision": self.revision,
+            "createRev": self.revision,
+            "lease": 0,
+        }
+        self.changed.set()
+
+    def remove(self, key):
+        """Remove an item, and let watches see that it is gone."""
+        self.put(key, "")
+        self.items[key]["tombstone"] = True
+
+    def forget_history(self):
+        """Drop the changes so far, so that watches must read anew."""
+        self.kept_since = self.revision
+        for key in [k for k, i in self.items.items() if i.get("tombstone")]:
+            del self.items[key]
+
+    def read_page(self, prefix, after):
+        """Return one page of items."""
+        keys = sorted(
+            key
+            for key, item in self.items.items()
+            if key.startswith(prefix)
+            and key > after
+            and not item.get("tombstone")
+        )
+        return {
+            "items": [self.items[k] for k in keys[: self.page]],
+            "hasMore": len(keys) > self.page,
+            "currentRev": self.revision,
+        }
+
+
+class StoreHandler(RequestHandler):
+    """Answers reads and watches."""
+
+    def initialize(self, store):
+        """Take the store."""
+        self.store = store
+
+    async def get(self, call):
+        """Answer one call, in whatever way the scenario wants."""
+        store = self.store
+        await store.answering.wait()
+        self.set_status(store.status)
+        prefix = self.get_query_argument("prefix")
+        after = self.get_query_argument("after", "")
+        if call == "range":
+            self.finish(store.read_page(prefix, after))
+            return
+        if store.watch_status != OK:
+            self.set_status(store.watch_status)
+            self.finish({})
+            return
+        if int(after) < store.kept_since:
+            self.set_status(GONE)
+            self.finish({})
+            return
+        while store.revision <= int(after):
+            store.changed.clear()
+            await store.changed.wait()
+        events = [
+            i for i in store.items.values() if i["revision"] > int(after)
+        ]
+        self.finish({"events": events, "currentRev": store.revision})
+
+
+def serve_store(store):
+    """Serve a store on loopback; return the server and its port."""
+    application = Application(
+        [("/kv-(range|watch)", StoreHandler, {"store": store})],
+        log_function=lambda handler: None,
+    )
+    socket, port = bind_unused_port(address="127.0.0.1")
+    server = HTTPServer(application)
+    server.add_sockets([socket])
+    return server, port
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -35,6 +35,7 @@
 READY_PORT = 28167
 INNER_PORT = 28720
 READY_SECONDS = 20.0
+WORK_SECONDS = 0.005
 SETTINGS = """
 node = "{name}"
 ip = "{ip}"
@@ -141,18 +142,13 @@
                 await sleep(0.02)
                 is_written = text in self.output[name]
 
-    async def start(self, name, ip, service=None):
+    async def start(self, name, ip, service=None, store=None):
         """Start a daemon."""
         side = outbound = ""
         if service is not None:
             side = f'service = "{service}"\napp = "{ip}:{HOST_PORT}"'
             outbound = f'outbound = "{ip}:{OUTBOUND_PORT}"'
-            address = Address(ip, HOST_PORT)
-            way_out = Address(ip, OUTBOUND_PORT)
-            self.hosts[name] = StandInHost(
-                self.network, name, address, way_out, work=0.005
-            )
-        else:
+        elif Address(ip, FABRIC_PORT) not in self.balancers:
             self.balancers.append(Address(ip, FABRIC_PORT))
         text = SETTINGS.format(
             name=name,
@@ -163,10 +159,22 @@
             fabric=FABRIC_PORT,
             ready=READY_PORT,
             outbound=outbound,
-            store=self.store,
+            store=store or self.store,
         )
         await self.start_with(name, text)
 
+    def add_host(self, name, ip):
+        """Put a host beside the agent at an address."""
+        host = StandInHost(
+            self.network,
+            name,
+            Address(ip, HOST_PORT),
+            Address(ip, OUTBOUND_PORT),
+            work=WORK_SECONDS,
+        )
+        self.hosts[name] = host
+        return host
+
     async def start_with(self, name, text):
         """Start a daemon with the text of a settings file."""
         path = Path(self.folder.name) / f"{name}.toml"
@@ -180,7 +188,7 @@
             stdout=PIPE,
         )
         self.processes[name] = process
-        self.output[name] = b""
+        self.output.setdefault(name, b"")
         self.readers.append(create_task(self.read(name)))
 
     async def read(self, name):
--- a/tests/system/steering_steps.py
+++ b/tests/system/steering_steps.py
@@ -9,16 +9,13 @@
 from behave import given
 from behave import then
 from behave import when
-from tornado.httpserver import HTTPServer
-from tornado.testing import bind_unused_port
-from tornado.web import Application
 
 from chicorycart.platform.settings import METRICS_PORT
-from tests.platform_adapter.store_steps import encode
-from tests.platform_adapter.store_steps import make_config
-from tests.platform_adapter.store_steps import make_entry
-from tests.platform_adapter.store_steps import StandInStore
-from tests.platform_adapter.store_steps import StoreHandler
+from tests.standins.kv import encode
+from tests.standins.kv import make_config
+from tests.standins.kv import make_entry
+from tests.standins.kv import serve_store
+from tests.standins.kv import StandInStore
 from tests.standins.processes import HOST_PORT
 from tests.standins.processes import PlatformProcesses
 
@@ -38,19 +35,14 @@
     store = StandInStore()
     store.items.clear()
     store.put("op/config", encode(make_config()))
-    application = Application(
-        [("/kv-(range|watch)", StoreHandler, {"store": store})],
-        log_function=lambda handler: None,
-    )
-    socket, port = bind_unused_port(address="127.0.0.1")
-    server = HTTPServer(application)
-    server.add_sockets([socket])
+    server, port = serve_store(store)
     context.cleanups.callback(server.stop)
     fleet = context.fleet = PlatformProcesses(f"127.0.0.1:{port}")
     for name, member in HOSTS.items():
         ip = fleet.find_ip(member)
         entry = make_entry(1, address=f"{ip}:{HOST_PORT}")
         store.put(f"servers/{name}", encode(entry))
+        fleet.add_host(name, ip)
         await fleet.start(name, ip, SERVICE)
     for name, member in BALANCERS.items():
         await fleet.start(name, fleet.find_ip(member))
