Count an opening as work only until its first request is due

After all machines lose power, callers open the same flow at several hosts or give up; agents then told of loads of 30 to 54 at hosts with four slots, most of it such openings, and new flows were placed by them. A caller's FIN or RST did not end its request either.

Now an opening counts for 0.1 s unless its request comes, and a closing packet of the caller ends its request. New scenario, red before.

--- a/chicorycart/steering/hosted.py
+++ b/chicorycart/steering/hosted.py
@@ -7,6 +7,7 @@
 from chicorycart.clock import Clock
 from chicorycart.packets.segment import Segment
 from chicorycart.steering.limits import AVERAGE_SECONDS
+from chicorycart.steering.limits import FIRST_REQUEST_SECONDS
 from chicorycart.steering.limits import MAX_FLOWS
 from chicorycart.steering.limits import OPENING_ANSWER_SECONDS
 from chicorycart.steering.limits import REQUEST_SECONDS
@@ -25,16 +26,19 @@
     asked_at : float or None
         Time of the request that the host has not answered yet, or of the
         opening of the flow.
+    is_work : bool
+        Whether the flow counts among the requests in progress.
     seen_at : float
         Time of the last packet, either way.
     """
 
-    __slots__ = ("balancer", "informed", "asked_at", "seen_at")
+    __slots__ = ("balancer", "informed", "asked_at", "is_work", "seen_at")
 
     def __init__(self, balancer: Address, now: float):
         self.balancer = balancer
         self.informed: Address | None = None
         self.asked_at: float | None = None
+        self.is_work = False
         self.seen_at = now
 
 
@@ -56,6 +60,7 @@
         "clock",
         "silent_seconds",
         "flows",
+        "openings",
         "in_progress",
         "mean_in_progress",
         "averaged_at",
@@ -66,6 +71,7 @@
         self.clock = clock
         self.silent_seconds = silent_seconds
         self.flows: OrderedDict[bytes, HostedFlow] = OrderedDict()
+        self.openings: OrderedDict[bytes, float] = OrderedDict()
         self.in_progress = 0
         self.mean_in_progress = 0.0
         self.averaged_at = clock.now()
@@ -87,11 +93,25 @@
 
     def describe_load(self) -> TargetLoad:
         """Return the work at the host."""
+        self.count_work()
         self.average()
         return TargetLoad(
             self.in_progress, len(self.flows), self.mean_in_progress
         )
 
+    def count_work(self) -> int:
+        """Return the requests in progress, and those about to come.
+
+        A flow whose caller does not ask soon after its opening is no work.
+        """
+        oldest = self.clock.now() - FIRST_REQUEST_SECONDS
+        while self.openings:
+            flow, opened_at = next(iter(self.openings.items()))
+            if opened_at > oldest:
+                break
+            self.discount(flow, self.flows[flow])
+        return self.in_progress
+
     def average(self) -> None:
         """Take the requests in progress since the last change into the mean.
 
@@ -116,13 +136,33 @@
         state.seen_at = now
         if segment.is_opening and self.waiting_since is None:
             self.waiting_since = now
-        begins_work = segment.is_opening or segment.payload_bytes > 0
-        if begins_work and state.asked_at is None:
+        if segment.is_closing:
+            self.finish(segment.flow, state)
+            return
+        if segment.is_opening:
+            if state.asked_at is None:
+                state.asked_at = now
+                self.openings[segment.flow] = now
+                self.count(state)
+        elif segment.payload_bytes:
             state.asked_at = now
+            self.openings.pop(segment.flow, None)
+            self.count(state)
+
+    def count(self, state: HostedFlow) -> None:
+        """Count a flow among the requests in progress."""
+        if not state.is_work:
+            state.is_work = True
             self.average()
             self.in_progress += 1
-        if segment.payload_bytes and not segment.is_opening:
-            state.asked_at = now
+
+    def discount(self, flow: bytes, state: HostedFlow) -> None:
+        """Count a flow among the requests in progress no longer."""
+        self.openings.pop(flow, None)
+        if state.is_work:
+            state.is_work = False
+            self.average()
+            self.in_progress -= 1
 
     def find(self, flow: bytes) -> HostedFlow | None:
         """Return a flow, and mark it as used."""
@@ -135,20 +175,18 @@
         """Take note of a packet that the host sent to a caller."""
         state.seen_at = self.clock.now()
         if segment.payload_bytes:
-            self.finish(state)
+            self.finish(segment.flow, state)
 
-    def finish(self, state: HostedFlow) -> None:
+    def finish(self, flow: bytes, state: HostedFlow) -> None:
         """Take note that the host works on nothing for a flow."""
-        if state.asked_at is not None:
-            state.asked_at = None
-            self.average()
-            self.in_progress -= 1
+        state.asked_at = None
+        self.discount(flow, state)
 
     def drop(self, flow: bytes) -> HostedFlow | None:
         """Forget a flow."""
         state = self.flows.pop(flow, None)
         if state is not None:
-            self.finish(state)
+            self.finish(flow, state)
         return state
 
     def sweep(self) -> None:
@@ -161,4 +199,4 @@
                 state.asked_at is not None
                 and now - state.asked_at > REQUEST_SECONDS
             ):
-                self.finish(state)
+                self.finish(flow, state)
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -87,6 +87,10 @@
 SWEEP_SECONDS = 1.0
 """Time between two removals of flows that have gone silent."""
 
+FIRST_REQUEST_SECONDS = 0.1
+"""Time after its opening in which the first request of a flow is awaited and
+counts as work; over ten round trips to callers of the same region (6 ms)."""
+
 REQUEST_SECONDS = 10.0
 """Time after which a request without an answer no longer counts as work;
 twice the longest deadline of a caller."""
--- a/chicorycart/steering/relay.py
+++ b/chicorycart/steering/relay.py
@@ -118,7 +118,7 @@
             return None
         if self.is_stopping:
             return ReturnReason.STOPPING
-        if header.limit and self.flows.in_progress >= header.limit:
+        if header.limit and self.flows.count_work() >= header.limit:
             return ReturnReason.BUSY
         return None
 
--- a/tests/steering/waves.feature
+++ b/tests/steering/waves.feature
@@ -33,3 +33,9 @@
     When host "h50" joins and 60 callers ask within 1 s
     Then every caller has the answer to its own request
     And host "h50" ran less than half of all
+
+  Scenario: Openings whose callers went elsewhere do not count as work
+    Given a fleet of 2 hosts and 1 balancers
+    When 8 callers open flows and never ask
+    And 0.2 s later 2 callers open flows, ask and give up before the answer
+    Then the agents count no request in progress
--- a/tests/steering/waves_steps.py
+++ b/tests/steering/waves_steps.py
@@ -9,6 +9,7 @@
 from behave import when
 
 LONG_SECONDS = 2.0
+HASTY_SECONDS = 0.05
 
 
 async def ask_within(context, count, seconds):
@@ -127,3 +128,48 @@
 def check_not_all(context, name):
     total = sum(context.shares.values())
     assert 0 < context.shares[name] < total / 2, context.shares
+
+
+@when("{count:d} callers open flows and never ask")
+def open_only(context, count):
+    async def run():
+        await context.fleet.settle()
+        for _ in range(count):
+            assert await context.fleet.make_caller().open()
+
+    context.run(run())
+    assert count_work(context) == count
+
+
+@when(
+    "{seconds:g} s later {count:d} callers open flows, ask and give up before"
+    " the answer"
+)
+def give_up(context, seconds, count):
+    async def run():
+        await sleep(seconds)
+        for host in context.fleet.hosts.values():
+            host.work = LONG_SECONDS
+        for _ in range(count):
+            caller = context.fleet.make_caller()
+            assert await caller.open()
+            assert await caller.ask(b"soon", HASTY_SECONDS) is None
+            await caller.close()
+        await sleep(HASTY_SECONDS)
+
+    context.run(run())
+
+
+@then("the agents count no request in progress")
+def check_no_work(context):
+    assert count_work(context) == 0
+
+
+def count_work(context):
+    """Return the requests that all agents count."""
+
+    async def count():
+        agents = context.fleet.agents.values()
+        return sum(a.flows.describe_load().in_progress for a in agents)
+
+    return context.run(count())
