Queue three requests a slot at a target; let the rest wait, latest first

Cause: when every target was busy, the least loaded took the flow without a limit. In the wave after an outage hosts then queued 50 requests each, shed some (503, resets over their cap) and answered all of them late, new callers too.

A busy target now takes flows up to three requests a slot, as the agent counts them; what is beyond waits at the balancer for 1 s at most, callers with the fewest copies first and the latest among them, and is refused then. It goes on when an agent tells its load, and every 20 ms. A packet pushed out of a full waiting room is refused too; before, its caller was told nothing. Two scenarios in waves.feature, red before (52 requests at a host; callers without any answer).

--- a/chicorycart/steering/balancer.py
+++ b/chicorycart/steering/balancer.py
@@ -30,6 +30,7 @@
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.limits import MIN_WATCH_SECONDS
 from chicorycart.steering.limits import PAGES_SECONDS
+from chicorycart.steering.limits import RESUME_SECONDS
 from chicorycart.steering.limits import RETRY_INITIAL_SECONDS
 from chicorycart.steering.limits import RETRY_MAX_SECONDS
 from chicorycart.steering.limits import STOP_MARGIN_SECONDS
@@ -102,9 +103,7 @@
             MessageKind.FLOW_REPORT, ReportReceiver(self.steerer)
         )
         self.link.register(MessageKind.RETURN, ReturnReceiver(self.steerer))
-        self.prober = SuspectProber(
-            self.directory, health, self.link, self.steerer
-        )
+        self.prober = SuspectProber(self.directory, health, self.link)
         self.link.register(MessageKind.PROBE_ANSWER, self.prober)
         self.pages = Pages(settings, self.metrics, self)
         self.add_readings(events)
@@ -207,9 +206,16 @@
             create_task(self.follower.run()),
             create_task(self.serve_fabric()),
             create_task(self.prober.run()),
+            create_task(self.resume_waiting()),
             create_task(self.sweep()),
         ]
 
+    async def resume_waiting(self) -> None:
+        """Send on what waits for targets, as long as the balancer runs."""
+        while True:
+            await sleep(RESUME_SECONDS)
+            self.steerer.resume()
+
     async def sweep(self) -> None:
         """Forget silent flows for as long as the balancer runs."""
         while True:
--- a/chicorycart/steering/choice.py
+++ b/chicorycart/steering/choice.py
@@ -93,6 +93,10 @@
             member.target.agent
         )
 
+    def may_take(self, member: Member) -> bool:
+        """Tell whether a target is heard and takes new work."""
+        return member.takes_new_work and not self.is_doubtful(member)
+
     def weigh(self, member: Member) -> tuple[bool, float]:
         """Return what makes one candidate worse than another."""
         work = self.health.estimate(member.target.agent)
--- a/chicorycart/steering/flows.py
+++ b/chicorycart/steering/flows.py
@@ -5,6 +5,7 @@
 
 from chicorycart.address import Address
 from chicorycart.clock import Clock
+from chicorycart.steering.directory import Member
 from chicorycart.steering.limits import MAX_FLOWS
 
 
@@ -40,8 +41,10 @@
         Time of the last packet or word of the flow.
     tried : list of Address
         Agents that an opening packet was offered to.
-    declined : list of Address
-        Agents that declined it because of their load.
+    may_queue : bool
+        Whether the last offer was for a place behind busy slots.
+    declined : list of Member
+        Targets whose agents declined it because of their load.
     accepted : dict of int to Address
         Agents whose hosts accepted it, by the host's sequence number.
     missed : list of Address
@@ -66,6 +69,7 @@
         "offered_at",
         "seen_at",
         "tried",
+        "may_queue",
         "declined",
         "accepted",
         "missed",
@@ -87,7 +91,8 @@
         self.offered_at = 0.0
         self.seen_at = 0.0
         self.tried: list[Address] = []
-        self.declined: list[Address] = []
+        self.may_queue = False
+        self.declined: list[Member] = []
         self.accepted: dict[int, Address] = {}
         self.missed: list[Address] = []
         self.doubted: list[Address] = []
--- a/chicorycart/steering/health.py
+++ b/chicorycart/steering/health.py
@@ -122,6 +122,22 @@
             and self.clock.now() - health.load_at < LOAD_SECONDS
         )
 
+    def has_room(self, agent: Address, limit: int) -> bool:
+        """Tell whether a target may have less work than a limit.
+
+        One flow at a time is offered to a target whose load was told too
+        long ago to know.
+        """
+        health = self.targets.get(agent)
+        if health is None:
+            return True
+        if (
+            health.load is None
+            or self.clock.now() - health.load_at >= LOAD_SECONDS
+        ):
+            return health.sent == 0
+        return health.load.in_progress + health.sent < limit
+
     def estimate(self, agent: Address) -> float:
         """Return the work that a target has and will have.
 
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -27,9 +27,19 @@
 MAX_PARKED = 2_048
 """Packets that wait so at once; 3 MB with the largest."""
 
-PARKED_LOAD = 2.0
-"""Work for each slot of a target up to which waiting flows are placed there,
-so that the first one that is back does not get all of them."""
+QUEUE_PER_SLOT = 3
+"""Requests for each slot of a target up to which it gets opening flows; what
+is beyond waits at the balancer, where later ones can go first. Callers' aims
+are four to five times the work of a request."""
+
+RESUME_SECONDS = 0.02
+"""Time between two turns in which waiting packets are sent on; a full target
+with the shortest requests of the users (5 ms) is through with its queue of
+three each slot in 15 ms."""
+
+RESUMED_AT_ONCE = 32
+"""Waiting packets that are looked at in one turn; ranking the targets of each
+takes some 50 us."""
 
 SUSPENSION_SECONDS = 0.5
 """First time for which a silent target gets no opening flows; about one
--- a/chicorycart/steering/parked.py
+++ b/chicorycart/steering/parked.py
@@ -57,15 +57,26 @@
         until = since + PARKED_SECONDS
         self.packets[segment.flow] = ParkedPacket(segment, until)
         if len(self.packets) > MAX_PARKED:
-            self.packets.popitem(last=False)
+            next(iter(self.packets.values())).until = 0.0
+
+    def is_waiting(self, flow: bytes) -> bool:
+        """Tell whether a packet of a flow waits."""
+        return flow in self.packets
 
     def drop(self, flow: bytes) -> None:
         """Keep the packet of a flow no longer."""
         self.packets.pop(flow, None)
 
     def list_waiting(self) -> list[Segment]:
-        """Return the packets that wait, the oldest first."""
-        return [packet.segment for packet in self.packets.values()]
+        """Return the packets that wait, in the order to send them on.
+
+        Those whose callers have sent the fewest copies come first, and the
+        latest among them: while not all can be answered in time, these can.
+        """
+        waiting = [packet.segment for packet in self.packets.values()]
+        waiting.reverse()
+        waiting.sort(key=count_copies)
+        return waiting
 
     def take_expired(self) -> list[Segment]:
         """Return the packets that waited too long, and drop them."""
@@ -74,3 +85,8 @@
         for segment in expired:
             del self.packets[segment.flow]
         return expired
+
+
+def count_copies(segment: Segment) -> int:
+    """Return the copies of an opening packet; open flows count as none."""
+    return segment.copies if segment.is_opening else 0
--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -6,15 +6,15 @@
 from chicorycart.operation.metrics import Metrics
 from chicorycart.packets.segment import Segment
 from chicorycart.steering.choice import TargetChoice
+from chicorycart.steering.directory import Member
 from chicorycart.steering.flows import SteeredFlow
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.limits import LATE_TIMER_SECONDS
 from chicorycart.steering.limits import MAX_OPENING_TARGETS
 from chicorycart.steering.limits import OPENING_ANSWER_SECONDS
-from chicorycart.steering.limits import PARKED_LOAD
+from chicorycart.steering.limits import QUEUE_PER_SLOT
 from chicorycart.steering.messages import FlowReport
 from chicorycart.steering.messages import ReturnReason
-from chicorycart.steering.output import NO_LIMIT
 from chicorycart.steering.output import SteererOutput
 from chicorycart.steering.parked import ParkedPackets
 
@@ -24,7 +24,8 @@
 
     An agent declines what exceeds the limit that the balancer names, so the
     choice goes by the load as it is. A target that gives no word in time is
-    suspended and the next one is tried.
+    suspended and the next one is tried. While no target has room, packets
+    wait here, where the latest can go first.
 
     Parameters
     ----------
@@ -83,6 +84,9 @@
             output.count("repeated")
             return
         state.copies = segment.copies
+        if self.parked.is_waiting(state.flow):
+            self.park(state, segment)
+            return
         state.stop_timer()
         self.place(state, segment)
 
@@ -95,20 +99,40 @@
             agent = member.target.agent
             # The chosen one is the least loaded: if it is busy, all are, and
             # asking them one after the other would only cost time.
-            is_busy = self.health.is_busy(agent, member.target.slots)
-            limit = NO_LIMIT if is_busy else member.target.slots
-            self.offer(state, segment, agent, limit)
+            if self.health.is_busy(agent, member.target.slots):
+                self.queue(state, segment, member)
+            else:
+                state.may_queue = False
+                self.offer(state, segment, agent, member.target.slots)
         elif state.declined:
-            agent = min(state.declined, key=self.health.estimate)
-            state.declined.remove(agent)
-            self.offer(state, segment, agent, NO_LIMIT)
+            least = min(
+                state.declined,
+                key=lambda m: self.health.estimate(m.target.agent),
+            )
+            self.queue(state, segment, least)
         elif state.tried:
-            state.tried.clear()
-            self.parked.put(segment, state.offered_at)
-            self.output.count("parked")
+            self.park(state, segment)
         else:
             self.output.refuse(segment, "no target")
 
+    def queue(
+        self, state: SteeredFlow, segment: Segment, member: Member
+    ) -> None:
+        """Offer an opening packet to a busy target, or let it wait here."""
+        limit = QUEUE_PER_SLOT * member.target.slots
+        if self.health.has_room(member.target.agent, limit):
+            state.may_queue = True
+            self.offer(state, segment, member.target.agent, limit)
+        else:
+            self.park(state, segment)
+
+    def park(self, state: SteeredFlow, segment: Segment) -> None:
+        """Let an opening packet wait until a target may take it."""
+        state.tried.clear()
+        state.declined.clear()
+        self.parked.put(segment, state.offered_at)
+        self.output.count("parked")
+
     def offer(
         self, state: SteeredFlow, segment: Segment, agent: Address, limit: int
     ) -> None:
@@ -191,12 +215,24 @@
             return
         state.stop_timer()
         if reason is ReturnReason.BUSY:
-            state.declined.append(agent)
+            self.take_declined(state, segment, agent)
+            return
         self.place(state, segment)
-        if state.timer is None:
+        if state.timer is None and not state.declined:
             self.parked.drop(state.flow)
             self.output.refuse(segment, f"last target: {reason}")
 
+    def take_declined(
+        self, state: SteeredFlow, segment: Segment, agent: Address
+    ) -> None:
+        """Go on with an opening packet that a busy agent gave back."""
+        member = self.choice.directory.find_agent(agent.host)
+        if state.may_queue or member is None:
+            self.park(state, segment)
+            return
+        state.declined.append(member)
+        self.place(state, segment)
+
     def settle(self, state: SteeredFlow, segment: Segment) -> None:
         """Go on at the host whose acceptance the caller took."""
         state.is_open = True
@@ -221,13 +257,34 @@
                 state.is_confirmed = False
                 return
 
+    def fill(
+        self, state: SteeredFlow, segment: Segment, agent: Address
+    ) -> bool:
+        """Offer a waiting flow to an agent; tell whether its search ends.
+
+        Returns
+        -------
+        bool
+            False if another flow may be offered to the agent.
+        """
+        member = self.choice.directory.find_agent(agent.host)
+        if member is None or not self.choice.may_take(member):
+            return True
+        if member.listing.service != state.service:
+            return False
+        limit = QUEUE_PER_SLOT * member.target.slots
+        if self.health.has_room(agent, limit):
+            self.parked.drop(state.flow)
+            self.queue(state, segment, member)
+        return True
+
     def has_room(self, state: SteeredFlow) -> bool:
         """Tell whether a target that is heard may take a waiting flow."""
         member = self.choice.choose(state.service, state.flow, ())
-        if member is None or self.choice.is_doubtful(member):
+        if member is None or not self.choice.may_take(member):
             return False
-        work = self.health.estimate(member.target.agent)
-        return work < PARKED_LOAD * member.target.slots
+        limit = QUEUE_PER_SLOT * member.target.slots
+        return self.health.has_room(member.target.agent, limit)
 
 
 def is_chosen(state: SteeredFlow, sequence: int) -> bool:
--- a/chicorycart/steering/probes.py
+++ b/chicorycart/steering/probes.py
@@ -24,13 +24,6 @@
         """Return the work at the host."""
 
 
-class Waiting(Protocol):
-    """Packets that wait for suspended targets."""
-
-    def resume(self) -> None:
-        """Send on those whose targets are heard by now."""
-
-
 class SuspectProber:
     """Probes suspended targets and takes their answers.
 
@@ -42,20 +35,16 @@
         Tells which are suspended and takes the answers.
     sender : Sender
         Sends to agents.
-    waiting : Waiting
-        Packets that wait for suspended targets.
     """
 
-    __slots__ = ("directory", "health", "sender", "waiting")
+    __slots__ = ("directory", "health", "sender")
 
     def __init__(
         self,
         directory: Directory,
         health: HealthTable,
         sender: Sender,
-        waiting: Waiting,
     ):
-        self.waiting = waiting
         self.directory = directory
         self.health = health
         self.sender = sender
@@ -65,7 +54,6 @@
         while True:
             await sleep(PROBE_SECONDS)
             self.probe_once()
-            self.waiting.resume()
 
     def probe_once(self) -> None:
         """Send one probe to each suspended target."""
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -6,6 +6,7 @@
 from chicorycart.packets.segment import SegmentCodec
 from chicorycart.steering.flows import SteeredFlow
 from chicorycart.steering.health import HealthTable
+from chicorycart.steering.limits import RESUMED_AT_ONCE
 from chicorycart.steering.messages import decode_report
 from chicorycart.steering.messages import decode_return
 from chicorycart.steering.messages import ReturnHeader
@@ -85,6 +86,7 @@
             return
         if report.is_accepted:
             self.placer.take_acceptance(state, report, source)
+            self.fill(source)
             return
         if state.agent != source or not state.is_confirmed:
             self.output.record(
@@ -122,7 +124,7 @@
         """Send on what waits for targets that are heard by now."""
         for segment in self.parked.take_expired():
             self.expire(segment)
-        for segment in self.parked.list_waiting():
+        for segment in self.parked.list_waiting()[:RESUMED_AT_ONCE]:
             state = self.output.flows.find(segment.flow)
             if state is None or state.is_confirmed:
                 self.parked.drop(segment.flow)
@@ -133,6 +135,15 @@
                 else:
                     self.output.deliver(state, segment.raw)
 
+    def fill(self, agent: Address) -> None:
+        """Offer the next waiting flow to an agent that told its load."""
+        for segment in self.parked.list_waiting()[:RESUMED_AT_ONCE]:
+            state = self.output.flows.find(segment.flow)
+            if state is None or not segment.is_opening or state.is_confirmed:
+                continue
+            if self.placer.fill(state, segment, agent):
+                return
+
     def can_go_on(self, state: SteeredFlow, segment: Segment) -> bool:
         """Tell whether a waiting packet has a target that may take it."""
         if segment.is_opening:
@@ -146,4 +157,4 @@
             return
         self.output.count("waited in vain")
         if segment.is_opening:
-            self.output.refuse(segment, "no target was heard")
+            self.output.refuse(segment, "no target had room in time")
--- a/tests/steering/waves.feature
+++ b/tests/steering/waves.feature
@@ -39,3 +39,20 @@
     When 8 callers open flows and never ask
     And 0.2 s later 2 callers open flows, ask and give up before the answer
     Then the agents count no request in progress
+
+  Scenario: Callers that come during a backlog are served in time, the backlog after them
+    Given a fleet of 4 hosts and 2 balancers
+    When 240 callers ask within 0.1 s and 200 more within the next 1 s
+    Then every caller has the answer to its own request
+    And no host had more than 8 requests to do at once
+    And at least 80 % of the later callers had their answer within 0.12 s
+    And 160 of the first callers had their answer within 1 s
+
+  Scenario: Callers beyond what hosts can do are told within the time that others wait
+    Given a fleet of 2 hosts and 2 balancers
+    And host "h1" is 20 times slower than the others
+    And host "h2" is 20 times slower than the others
+    When 100 callers ask within 0.1 s
+    Then every caller has an answer or a reset within 1.1 s of its opening
+    And no host had more than 8 requests to do at once
+    And no host ran a request of a caller that was reset
--- a/tests/steering/waves_steps.py
+++ b/tests/steering/waves_steps.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task
 from asyncio import gather
+from asyncio import get_running_loop
 from asyncio import sleep
 
 from behave import given
@@ -10,18 +11,27 @@
 
 LONG_SECONDS = 2.0
 HASTY_SECONDS = 0.05
+TRIES = 3
 
 
-async def ask_within(context, count, seconds):
-    """Let many callers ask, spread over some time."""
+async def ask_within(context, count, seconds, tries=1):
+    """Let many callers ask, spread over some time; return them."""
+    callers = []
 
     async def ask(number):
         await sleep(seconds * number / count)
-        caller = context.fleet.make_caller()
-        context.callers.append(caller)
-        caller.body = b"wave-%d" % caller.address.port
-        if await caller.open():
+        began = get_running_loop().time()
+        for _ in range(tries):
+            caller = context.fleet.make_caller()
+            caller.body = b"wave-%d" % caller.address.port
+            caller.is_open = await caller.open()
+            if caller.is_open:
+                break
+        callers.append(caller)
+        caller.open_seconds = get_running_loop().time() - began
+        if caller.is_open:
             await caller.ask(caller.body)
+        caller.seconds = get_running_loop().time() - began
 
     before = {n: len(h.ran) for n, h in context.fleet.hosts.items()}
     await gather(*(ask(number) for number in range(count)))
@@ -29,6 +39,8 @@
         name: len(host.ran) - before.get(name, 0)
         for name, host in context.fleet.hosts.items()
     }
+    context.callers.extend(callers)
+    return callers
 
 
 @when("{count:d} callers ask within {seconds:g} s")
@@ -160,6 +172,21 @@
     context.run(run())
 
 
+@when(
+    "{first:d} callers ask within {seconds:g} s and {later:d} more within the"
+    " next {rest:g} s"
+)
+def ask_in_backlog(context, first, seconds, later, rest):
+    async def run():
+        await context.fleet.settle()
+        backlog = create_task(ask_within(context, first, seconds, TRIES))
+        await sleep(seconds)
+        context.later = await ask_within(context, later, rest, TRIES)
+        context.first = await backlog
+
+    context.run(run())
+
+
 @then("the agents count no request in progress")
 def check_no_work(context):
     assert count_work(context) == 0
@@ -173,3 +200,42 @@
         return sum(a.flows.describe_load().in_progress for a in agents)
 
     return context.run(count())
+
+
+@then("no host had more than {count:d} requests to do at once")
+def check_waiting(context, count):
+    most = {n: h.most_waiting for n, h in context.fleet.hosts.items()}
+    assert 0 < max(most.values()) <= count, most
+
+
+@then(
+    "at least {share:d} % of the later callers had their answer within"
+    " {seconds:g} s"
+)
+def check_later(context, share, seconds):
+    served = [c for c in context.later if c.answers and c.seconds <= seconds]
+    assert len(served) * 100 >= share * len(context.later), len(served)
+
+
+@then("{count:d} of the first callers had their answer within {seconds:g} s")
+def check_first(context, count, seconds):
+    served = [c for c in context.first if c.answers and c.seconds <= seconds]
+    assert len(served) >= count, len(served)
+
+
+@then(
+    "every caller has an answer or a reset within {seconds:g} s of its opening"
+)
+def check_told(context, seconds):
+    for caller in context.callers:
+        assert caller.is_open or caller.resets, caller.address
+        assert caller.open_seconds <= seconds, caller.open_seconds
+    assert any(caller.answers for caller in context.callers)
+    assert any(caller.resets for caller in context.callers)
+
+
+@then("no host ran a request of a caller that was reset")
+def check_not_run(context):
+    ran = {body for h in context.fleet.hosts.values() for body in h.ran}
+    reset = {caller.body for caller in context.callers if caller.resets}
+    assert not ran & reset
