--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -112,6 +112,8 @@
 
     Attributes
     ----------
+    program : tuple of str
+        Arguments to the interpreter that start a daemon.
     processes : dict
         By name.
     output : dict of str to bytes
@@ -120,6 +122,7 @@
 
     def __init__(self, store):
         self.store = store
+        self.program = ("-m", "chicorycart.platform")
         self.network = LoopbackNetwork()
         self.part = Network()
         self.folder = TemporaryDirectory()
@@ -183,8 +186,7 @@
         path.write_text(text)
         process = await create_subprocess_exec(
             sys.executable,
-            "-m",
-            "chicorycart.platform",
+            *self.program,
             cwd=ROOT,
             env={**environ, FILE_VARIABLE: str(path)},
             stdout=PIPE,
--- a/tests/steering/waves.feature
+++ b/tests/steering/waves.feature
@@ -56,3 +56,19 @@
     Then every caller has an answer or a reset within 1.1 s of its opening
     And no host had more than 8 requests to do at once
     And no host ran a request of a caller that was reset
+
+  Scenario: An idle host that is slow is passed over while fast ones are idle
+    Given a fleet of 4 hosts and 2 balancers
+    And host "h1" is 10 times slower than the others
+    When 40 callers ask one after the other
+    And 40 callers ask one after the other
+    Then host "h1" ran at most 12 requests
+
+  Scenario: A slow host that is well again is used again
+    Given a fleet of 4 hosts and 2 balancers
+    And host "h1" is 10 times slower than the others
+    When 40 callers ask one after the other
+    And host "h1" is as fast as the others again
+    And the callers do nothing for 3 s
+    And 80 callers ask one after the other
+    Then host "h1" ran at least 10 requests more
--- a/tests/steering/waves_steps.py
+++ b/tests/steering/waves_steps.py
@@ -239,3 +239,22 @@
     ran = {body for h in context.fleet.hosts.values() for body in h.ran}
     reset = {caller.body for caller in context.callers if caller.resets}
     assert not ran & reset
+
+
+@then('host "{name}" ran at most {count:d} requests')
+def check_few(context, name, count):
+    ran = len(context.fleet.hosts[name].ran)
+    assert 0 < ran <= count, ran
+
+
+@when('host "{name}" is as fast as the others again')
+def speed_up(context, name):
+    fleet = context.fleet
+    fleet.hosts[name].work = min(h.work for h in fleet.hosts.values())
+    context.ran_slow = len(fleet.hosts[name].ran)
+
+
+@then('host "{name}" ran at least {count:d} requests more')
+def check_more(context, name, count):
+    ran = len(context.fleet.hosts[name].ran) - context.ran_slow
+    assert ran >= count, ran
