Prefer a target of the own failure domain among about equal ones

Within half a request a slot the near target now goes first; the order in which owners are searched stays.

--- a/chicorycart/steering/balancer.py
+++ b/chicorycart/steering/balancer.py
@@ -122,7 +122,7 @@
             events,
             self.metrics,
         )
-        choice = TargetChoice(self.directory, health)
+        choice = TargetChoice(self.directory, health, self.settings.domain)
         parked = ParkedPackets(self.clock)
         return Steerer(
             codec,
--- a/chicorycart/steering/choice.py
+++ b/chicorycart/steering/choice.py
@@ -10,6 +10,7 @@
 from chicorycart.steering.directory import Directory
 from chicorycart.steering.directory import Member
 from chicorycart.steering.health import HealthTable
+from chicorycart.steering.limits import NEAR_WORK
 
 
 class TargetChoice:
@@ -24,13 +25,17 @@
         Targets of each service.
     health : HealthTable
         What traffic tells of them.
+    domain : str
+        Failure domain of the own instance; targets there cost no bytes
+        between domains.
     """
 
-    __slots__ = ("directory", "health")
+    __slots__ = ("directory", "health", "domain")
 
-    def __init__(self, directory: Directory, health: HealthTable):
+    def __init__(self, directory: Directory, health: HealthTable, domain: str):
         self.directory = directory
         self.health = health
+        self.domain = domain
 
     def rank(self, service: str, flow: bytes) -> list[Member]:
         """Return all targets of a service in the order of a flow.
@@ -74,8 +79,9 @@
         Returns
         -------
         Member or None
-            The least loaded of the first candidates; None if no target is
-            left that takes new work.
+            The least loaded of the first candidates, the nearer of two with
+            about as much work; None if no target is left that takes new
+            work.
         """
         left = [
             member
@@ -97,7 +103,12 @@
         """Tell whether a target is heard and takes new work."""
         return member.takes_new_work and not self.is_doubtful(member)
 
-    def weigh(self, member: Member) -> tuple[bool, float]:
+    def weigh(self, member: Member) -> tuple[bool, int, bool, float]:
         """Return what makes one candidate worse than another."""
-        work = self.health.estimate(member.target.agent)
-        return self.is_doubtful(member), work / member.target.slots
+        work = self.health.estimate(member.target.agent) / member.target.slots
+        return (
+            self.is_doubtful(member),
+            int(work / NEAR_WORK),
+            member.target.domain != self.domain,
+            work,
+        )
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -32,6 +32,10 @@
 is beyond waits at the balancer, where later ones can go first. Callers' aims
 are four to five times the work of a request."""
 
+NEAR_WORK = 0.5
+"""Work for each slot within which a target of the own failure domain goes
+before others; half a request costs a caller less than the aims allow."""
+
 RESUME_SECONDS = 0.02
 """Time between two turns in which waiting packets are sent on; a full target
 with the shortest requests of the users (5 ms) is through with its queue of
--- a/measure/steering.py
+++ b/measure/steering.py
@@ -78,7 +78,7 @@
         routes = RouteTable(1, [Route(entry, ((SERVICE, 1.0),))])
         follower.routes.take(routes)
         health = HealthTable(clock, events)
-        choice = TargetChoice(directory, health)
+        choice = TargetChoice(directory, health, "riga-a")
         parked = ParkedPackets(clock)
         self.to_agent = LastSent()
         metrics = Metrics()
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -24,6 +24,7 @@
 HOST_PORT = 8165
 OUTBOUND_PORT = 8162
 SERVICE = "dispatch"
+DOMAIN = "riga-a"
 OTHER_SERVICE = "catalogue"
 OTHER_ENTRY = Address("198.18.0.2", 443)
 BOUNDS = Bounds(3.0, 3.0, 6.0, 60.0)
@@ -39,7 +40,7 @@
     """Return settings of a daemon."""
     return SteeringSettings(
         name,
-        "riga-a",
+        DOMAIN,
         Address(host, FABRIC_PORT),
         Address(host, LINK_PORT),
         Address(host, 8167),
@@ -128,7 +129,12 @@
         self.tasks[f"{name}-agent"] = agent.start()
 
     def list_host(
-        self, name, service=SERVICE, state=ListedState.READY, born=1
+        self,
+        name,
+        service=SERVICE,
+        state=ListedState.READY,
+        born=1,
+        domain=DOMAIN,
     ):
         """Write the entry of a host."""
         host = self.hosts[name]
@@ -137,7 +143,7 @@
                 name,
                 service,
                 host.address,
-                "riga-a",
+                domain,
                 host.slots,
                 state,
                 born,
--- a/tests/steering/waves.feature
+++ b/tests/steering/waves.feature
@@ -72,3 +72,9 @@
     And the callers do nothing for 3 s
     And 80 callers ask one after the other
     Then host "h1" ran at least 10 requests more
+
+  Scenario: A host of the own failure domain goes before an equal one elsewhere
+    Given a fleet of 7 hosts and 2 balancers
+    And hosts "h1", "h2" and "h3" are in failure domain "riga-b"
+    When 60 callers ask one after the other
+    Then hosts "h1", "h2" and "h3" ran less than a quarter of all
--- a/tests/steering/waves_steps.py
+++ b/tests/steering/waves_steps.py
@@ -258,3 +258,18 @@
 def check_more(context, name, count):
     ran = len(context.fleet.hosts[name].ran) - context.ran_slow
     assert ran >= count, ran
+
+
+@given('hosts "{first}", "{second}" and "{third}" are in failure domain "{d}"')
+def move(context, first, second, third, d):
+    for name in (first, second, third):
+        context.fleet.list_host(name, domain=d)
+
+
+@then(
+    'hosts "{first}", "{second}" and "{third}" ran less than a quarter of all'
+)
+def check_far(context, first, second, third):
+    hosts = context.fleet.hosts
+    far = sum(len(hosts[name].ran) for name in (first, second, third))
+    assert 0 < far * 4 < sum(len(host.ran) for host in hosts.values()), far
