Let no full service hold up another, and wait for full targets also after a refusal

Each service now has its own 32, and an agent that tells its load is given the next waiting flow of its own service. A refusal ends the search only if no target is left that may have room.

--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -42,8 +42,8 @@
 three each slot in 15 ms."""
 
 RESUMED_AT_ONCE = 32
-"""Waiting packets that are looked at in one turn; ranking the targets of each
-takes some 50 us."""
+"""Waiting packets of a service that are looked at in one turn; ranking the
+targets of each takes some 50 us."""
 
 SUSPENSION_SECONDS = 0.5
 """First time for which a silent target gets no opening flows; about one
--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -90,8 +90,24 @@
         state.stop_timer()
         self.place(state, segment)
 
-    def place(self, state: SteeredFlow, segment: Segment) -> None:
-        """Offer an opening packet to the next target."""
+    def place(
+        self,
+        state: SteeredFlow,
+        segment: Segment,
+        returned: ReturnReason | None = None,
+    ) -> None:
+        """Offer an opening packet to the next target.
+
+        Parameters
+        ----------
+        state : SteeredFlow
+            The flow.
+        segment : Segment
+            Its opening packet.
+        returned : ReturnReason, optional
+            Why the last target gave it back. If no other one is left, the
+            flow is refused; after silence it waits.
+        """
         member = None
         if len(state.tried) < MAX_OPENING_TARGETS:
             member = self.choice.choose(state.service, state.flow, state.tried)
@@ -110,6 +126,8 @@
                 key=lambda m: self.health.estimate(m.target.agent),
             )
             self.queue(state, segment, least)
+        elif returned is not None:
+            self.output.refuse(segment, f"last target: {returned}")
         elif state.tried:
             self.park(state, segment)
         else:
@@ -216,11 +234,8 @@
         state.stop_timer()
         if reason is ReturnReason.BUSY:
             self.take_declined(state, segment, agent)
-            return
-        self.place(state, segment)
-        if state.timer is None and not state.declined:
-            self.parked.drop(state.flow)
-            self.output.refuse(segment, f"last target: {reason}")
+        else:
+            self.place(state, segment, reason)
 
     def take_declined(
         self, state: SteeredFlow, segment: Segment, agent: Address
@@ -257,34 +272,25 @@
                 state.is_confirmed = False
                 return
 
-    def fill(
-        self, state: SteeredFlow, segment: Segment, agent: Address
-    ) -> bool:
-        """Offer a waiting flow to an agent; tell whether its search ends.
-
-        Returns
-        -------
-        bool
-            False if another flow may be offered to the agent.
-        """
+    def find_room(self, agent: Address) -> Member | None:
+        """Return the target beside an agent if it may take another flow."""
         member = self.choice.directory.find_agent(agent.host)
-        if member is None or not self.choice.may_take(member):
-            return True
-        if member.listing.service != state.service:
-            return False
-        limit = QUEUE_PER_SLOT * member.target.slots
-        if self.health.has_room(agent, limit):
-            self.parked.drop(state.flow)
-            self.queue(state, segment, member)
-        return True
+        return member if self.can_queue(member) else None
 
     def has_room(self, state: SteeredFlow) -> bool:
         """Tell whether a target that is heard may take a waiting flow."""
         member = self.choice.choose(state.service, state.flow, ())
-        if member is None or not self.choice.may_take(member):
-            return False
-        limit = QUEUE_PER_SLOT * member.target.slots
-        return self.health.has_room(member.target.agent, limit)
+        return self.can_queue(member)
+
+    def can_queue(self, member: Member | None) -> bool:
+        """Tell whether a flow may be offered to a target, behind others."""
+        return (
+            member is not None
+            and self.choice.may_take(member)
+            and self.health.has_room(
+                member.target.agent, QUEUE_PER_SLOT * member.target.slots
+            )
+        )
 
 
 def is_chosen(state: SteeredFlow, sequence: int) -> bool:
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -1,5 +1,7 @@
 """Sends each packet of a caller to the agent whose host holds its flow."""
 
+from collections import Counter
+
 from chicorycart.address import Address
 from chicorycart.packets.errors import PacketError
 from chicorycart.packets.segment import Segment
@@ -124,11 +126,16 @@
         """Send on what waits for targets that are heard by now."""
         for segment in self.parked.take_expired():
             self.expire(segment)
-        for segment in self.parked.list_waiting()[:RESUMED_AT_ONCE]:
+        looked_at: Counter[str] = Counter()
+        for segment in self.parked.list_waiting():
             state = self.output.flows.find(segment.flow)
             if state is None or state.is_confirmed:
                 self.parked.drop(segment.flow)
-            elif self.can_go_on(state, segment):
+                continue
+            looked_at[state.service] += 1
+            if looked_at[state.service] > RESUMED_AT_ONCE:
+                continue
+            if self.can_go_on(state, segment):
                 self.parked.drop(segment.flow)
                 if segment.is_opening:
                     self.placer.place(state, segment)
@@ -137,11 +144,16 @@
 
     def fill(self, agent: Address) -> None:
         """Offer the next waiting flow to an agent that told its load."""
-        for segment in self.parked.list_waiting()[:RESUMED_AT_ONCE]:
+        member = self.placer.find_room(agent)
+        if member is None:
+            return
+        for segment in self.parked.list_waiting():
             state = self.output.flows.find(segment.flow)
             if state is None or not segment.is_opening or state.is_confirmed:
                 continue
-            if self.placer.fill(state, segment, agent):
+            if state.service == member.listing.service:
+                self.parked.drop(segment.flow)
+                self.placer.queue(state, segment, member)
                 return
 
     def can_go_on(self, state: SteeredFlow, segment: Segment) -> bool:
--- a/tests/steering/waves.feature
+++ b/tests/steering/waves.feature
@@ -78,3 +78,17 @@
     And hosts "h1", "h2" and "h3" are in failure domain "riga-b"
     When 60 callers ask one after the other
     Then hosts "h1", "h2" and "h3" ran less than a quarter of all
+
+  Scenario: Callers that wait for a full service hold up no other service
+    Given a fleet of 2 hosts and 1 balancers
+    And host "h1" is 20 times slower than the others
+    And host "h2" is 20 times slower than the others
+    And host "h3" of another service
+    When 200 callers ask within 0.04 s while 20 ask the other service
+    Then the 20 callers had their answer within 0.5 s
+
+  Scenario: A caller waits for a full target while another one refuses
+    Given a fleet of 2 hosts and 1 balancers
+    And host "h1" accepts no flows
+    When 12 callers ask within 0.01 s
+    Then every caller has the answer to its own request
--- a/tests/steering/waves_steps.py
+++ b/tests/steering/waves_steps.py
@@ -9,12 +9,16 @@
 from behave import then
 from behave import when
 
+from tests.standins.ends import ENTRY
+from tests.standins.steered import OTHER_ENTRY
+from tests.standins.steered import OTHER_SERVICE
+
 LONG_SECONDS = 2.0
 HASTY_SECONDS = 0.05
 TRIES = 3
 
 
-async def ask_within(context, count, seconds, tries=1):
+async def ask_within(context, count, seconds, tries=1, entry=ENTRY):
     """Let many callers ask, spread over some time; return them."""
     callers = []
 
@@ -22,7 +26,7 @@
         await sleep(seconds * number / count)
         began = get_running_loop().time()
         for _ in range(tries):
-            caller = context.fleet.make_caller()
+            caller = context.fleet.make_caller(entry)
             caller.body = b"wave-%d" % caller.address.port
             caller.is_open = await caller.open()
             if caller.is_open:
@@ -273,3 +277,33 @@
     hosts = context.fleet.hosts
     far = sum(len(hosts[name].ran) for name in (first, second, third))
     assert 0 < far * 4 < sum(len(host.ran) for host in hosts.values()), far
+
+
+@given('host "{name}" of another service')
+def add_other(context, name):
+    async def add():
+        context.fleet.add_host(name, OTHER_SERVICE)
+
+    context.run(add())
+
+
+@when(
+    "{count:d} callers ask within {seconds:g} s while {others:d} ask the other"
+    " service"
+)
+def ask_both(context, count, seconds, others):
+    async def run():
+        await context.fleet.settle()
+        waiting = create_task(ask_within(context, count, seconds))
+        context.later = await ask_within(
+            context, others, seconds / 2, entry=OTHER_ENTRY
+        )
+        await waiting
+
+    context.run(run())
+
+
+@then("the {count:d} callers had their answer within {seconds:g} s")
+def check_others(context, count, seconds):
+    served = [c for c in context.later if c.answers and c.seconds <= seconds]
+    assert len(served) == count, len(served)
