--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -58,9 +58,9 @@
 soon as its agent is back; as long as an opening packet waits for word."""
 
 MAX_FLOWS = 65_536
-"""Flows that one process remembers: 77 MB at a balancer and 12 MB at an agent
-when full (1,177 and 185 bytes a flow, docs/CAPACITY.md); the smallest
-instance has 114 MB and sees a few thousand."""
+"""Flows that one process remembers: 44 MB at a balancer and 14 MB at an agent
+when full (670 and 217 bytes a flow, `python -m measure.steering`); the
+smallest instance has 114 MB and sees a few thousand."""
 
 WATCH_SECONDS = 2.0
 """Time for which one watch on the store may wait; with the margin it bounds
--- a/measure/steering.py
+++ b/measure/steering.py
@@ -1,12 +1,13 @@
 """Measures packets a second of one core through steering.
 
-``python -m measure.steering`` prints processor time a packet as JSON, logs
-included.
+``python -m measure.steering`` prints processor time a packet, logs included,
+and the bytes that a flow takes, as JSON.
 """
 
 from asyncio import run
 from json import dumps
 from time import process_time
+import tracemalloc
 
 from logbook import NullHandler
 
@@ -177,11 +178,29 @@
     return head + body
 
 
+def measure_memory() -> dict[str, float]:
+    """Return the bytes that a flow takes at each end."""
+    tracemalloc.start()
+    bench = SteeringBench()
+    bench.play()
+    figures = {}
+    for name, flows in (
+        ("balancer, a flow, bytes", bench.steerer.output.flows.flows),
+        ("agent, a flow, bytes", bench.relay.flows.flows),
+    ):
+        before = tracemalloc.get_traced_memory()[0]
+        count = len(flows)
+        flows.clear()
+        after = tracemalloc.get_traced_memory()[0]
+        figures[name] = (before - after) / count
+    tracemalloc.stop()
+    return figures
+
+
 async def measure() -> dict[str, float]:
-    """Return microseconds of processor time by step."""
-    return {
-        step: round(value, 1) for step, value in SteeringBench().play().items()
-    }
+    """Return microseconds of processor time, and bytes, by step."""
+    figures = {**SteeringBench().play(), **measure_memory()}
+    return {step: round(value, 1) for step, value in figures.items()}
 
 
 if __name__ == "__main__":
--- a/tests/measure/steering_steps.py
+++ b/tests/measure/steering_steps.py
@@ -11,7 +11,7 @@
     context.steps = context.run(measure())
 
 
-@then("each step took time")
+@then("each step took time, and each flow some bytes")
 def check_steps(context):
-    assert len(context.steps) == 3
+    assert len(context.steps) == 5
     assert all(value > 0 for value in context.steps.values())
