Log when a flow waits for a target or is left to its caller

Cause, found on reading: waiting for a full or silent target, and leaving a flow that no listed target holds to its caller, touch a request and were only counted. flow_waits names the targets tried, whether they were full and how many wait; flow_left the targets that gave the flow back. A gauge tells what waits.

--- a/chicorycart/steering/balancer.py
+++ b/chicorycart/steering/balancer.py
@@ -154,6 +154,11 @@
                 lambda: follower.failed,
             ),
             ("flows", "Flows remembered.", lambda: len(self.flows)),
+            (
+                "waiting",
+                "Packets that wait for a target.",
+                lambda: len(self.steerer.parked),
+            ),
             (
                 "targets",
                 "Targets known.",
--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -85,7 +85,8 @@
             return
         state.copies = segment.copies
         if self.parked.is_waiting(state.flow):
-            self.park(state, segment)
+            self.parked.put(segment, state.offered_at)
+            output.count("parked")
             return
         state.stop_timer()
         self.place(state, segment)
@@ -146,10 +147,19 @@
 
     def park(self, state: SteeredFlow, segment: Segment) -> None:
         """Let an opening packet wait until a target may take it."""
+        self.output.record(
+            "flow_waits",
+            state.flow,
+            "service={} tried={} busy={} waiting={}",
+            state.service,
+            ",".join(map(str, state.tried)),
+            state.may_queue or bool(state.declined),
+            len(self.parked),
+        )
+        self.output.count("parked")
         state.tried.clear()
         state.declined.clear()
         self.parked.put(segment, state.offered_at)
-        self.output.count("parked")
 
     def offer(
         self, state: SteeredFlow, segment: Segment, agent: Address, limit: int
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -149,5 +149,12 @@
         self.output.flows.drop(state.flow)
         if not (state.is_forgotten or self.output.follower.lists_all()):
             self.output.count("unheld")
+            self.output.record(
+                "flow_left",
+                state.flow,
+                "missed={} reason={!r}",
+                len(state.missed),
+                "not all targets may be listed yet",
+            )
             return
         self.output.refuse(segment, "held by no target")
--- a/tests/steering/waves.feature
+++ b/tests/steering/waves.feature
@@ -92,3 +92,10 @@
     And host "h1" accepts no flows
     When 12 callers ask within 0.01 s
     Then every caller has the answer to its own request
+
+  Scenario: The log tells of a flow that waits, and why it is refused
+    Given a fleet of 2 hosts and 1 balancers
+    And host "h1" is 20 times slower than the others
+    And host "h2" is 20 times slower than the others
+    When 40 callers ask within 0.04 s and what is logged is kept
+    Then each reset caller has lines "flow_waits" and "flow_reset"
--- a/tests/steering/waves_steps.py
+++ b/tests/steering/waves_steps.py
@@ -8,6 +8,7 @@
 from behave import given
 from behave import then
 from behave import when
+from logbook import TestHandler
 
 from tests.standins.ends import ENTRY
 from tests.standins.steered import OTHER_ENTRY
@@ -307,3 +308,22 @@
 def check_others(context, count, seconds):
     served = [c for c in context.later if c.answers and c.seconds <= seconds]
     assert len(served) == count, len(served)
+
+
+@when("{count:d} callers ask within {seconds:g} s and what is logged is kept")
+def ask_logged(context, count, seconds):
+    handler = TestHandler()
+    with handler.applicationbound():
+        ask(context, count, seconds)
+    context.lines = [record.message for record in handler.records]
+
+
+@then('each reset caller has lines "{first}" and "{second}"')
+def check_lines(context, first, second):
+    reset = [caller for caller in context.callers if caller.resets]
+    assert reset
+    for caller in reset:
+        flow = f"flow=tcp:{caller.address}>{caller.entry} "
+        for event in (first, second):
+            start = f"event={event} {flow}"
+            assert any(line.startswith(start) for line in context.lines), start
