--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,6 +16,8 @@
 from typer import Option
 from typer import Typer
 
+from tests.soak.plan import BALANCERS
+from tests.soak.plan import PLACES
 from tests.soak.run import play
 
 application = Typer(add_completion=False)
@@ -32,7 +34,7 @@
         (place / f"{name}.log").write_bytes(written)
 
 
-async def play_all(seeds, jobs, folder):
+async def play_all(seeds, jobs, folder, size):
     """Play seeds, some at a time; return how many broke a promise."""
     slots = Semaphore(jobs)
     failed = 0
@@ -40,7 +42,7 @@
     async def play_one(seed):
         nonlocal failed
         async with slots:
-            outcome = await play(seed)
+            outcome = await play(seed, *size)
         text = f"{outcome.answered} of {outcome.asked} answered"
         echo(f"seed {seed}: {text}, {len(outcome.broken)} promises broken")
         if outcome.broken:
@@ -63,10 +65,15 @@
     logs: Annotated[
         Path, Option(help="Folder for the logs of seeds that fail.")
     ] = Path("soak-logs"),
+    balancers: Annotated[int, Option(help="Balancers of a seed.")] = BALANCERS,
+    places: Annotated[
+        int, Option(help="Hosts of a seed, each with its agent; 90 at most.")
+    ] = PLACES,
 ) -> None:
     """Play seeds of random faults against the real processes."""
     start = int(time()) if first is None else first
-    failed = run(play_all(range(start, start + count), jobs, logs))
+    seeds = range(start, start + count)
+    failed = run(play_all(seeds, jobs, logs, (balancers, places)))
     echo(f"{count - failed} seeds kept every promise, {failed} did not")
     if failed:
         raise Exit(1)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -136,9 +136,9 @@
             )
 
 
-async def play(seed):
-    """Play one seed; return its outcome."""
-    world = World(seed)
+async def play(seed, *size):
+    """Play one seed in a world of some size; return its outcome."""
+    world = World(seed, *size)
     traffic = Traffic(world)
     steps = draw_plan(seed)
     try:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -59,8 +59,10 @@
         By place; the present one each.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, balancers=BALANCERS, places=PLACES):
         self.random = Random(seed)
+        self.balancer_count = balancers
+        self.place_count = places
         self.promises = Promises()
         self.kv = StandInStore()
         self.kv.items.clear()
@@ -84,11 +86,11 @@
     async def start(self):
         """Start every process and wait until all serve."""
         self.configure()
-        for place in range(PLACES):
-            service = SERVICES[place * len(SERVICES) // PLACES]
+        for place in range(self.place_count):
+            service = SERVICES[place * len(SERVICES) // self.place_count]
             await self.add_agent(place, service)
             self.add_host(place, service)
-        for _ in range(BALANCERS):
+        for _ in range(self.balancer_count):
             await self.add_balancer()
         address = Address(self.fleet.find_ip(CALLERS), FABRIC_PORT)
         self.answers = self.fleet.network.open(address)
@@ -192,7 +194,7 @@
             elif page is not None and daemon not in self.in_rotation:
                 self.in_rotation.append(daemon)
                 self.in_rotation.sort(key=lambda d: d.name)
-            if len(self.in_rotation) == BALANCERS:
+            if len(self.in_rotation) == self.balancer_count:
                 self.all_in_rotation.set()
             await sleep(POLL_SECONDS)
 
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_subprocess_exec
 from asyncio import create_task
+from asyncio import gather
 from asyncio import get_running_loop
 from asyncio import sleep
 from asyncio import timeout
@@ -254,10 +255,12 @@
     async def close(self):
         """End every process that was started here."""
         self.signal(SIGKILL)
-        for process in self.processes.values():
-            await process.wait()
         for reader in self.readers:
             reader.cancel()
+        await gather(*self.readers, return_exceptions=True)
+        for process in self.processes.values():
+            # What nobody read yet would keep the pipe, and the wait, open.
+            await process.communicate()
         for opened in self.network.sockets:
             opened.close()
         self.folder.cleanup()
