Serve waiting flows in the order they came, as soon as a target has room

Cause, found with python -m measure.log_load: 20 callers in turn, hosts that answer at once, and 1 % of the callers waited 1 s and were refused. Three faults of the bounded queues: new callers went past those that waited; the latest went first even while all could be in time; and a full target was asked again only once its load was 50 ms old, so it idled between (175 of 200 requests a second in a closed loop of 24 callers at two hosts).

Now new flows of a service stand in line behind those that wait; the first to come goes first within 0.1 s, beyond it the latest with the fewest copies; an agent whose host was full tells the balancers that wait, one for each free place.

New scenario, red before. tests.run tests/steering: 51 passed.

--- a/chicorycart/steering/balancer.py
+++ b/chicorycart/steering/balancer.py
@@ -43,6 +43,7 @@
 from chicorycart.steering.placing import FlowPlacer
 from chicorycart.steering.probes import SuspectProber
 from chicorycart.steering.published import PublishedStore
+from chicorycart.steering.receivers import LoadReceiver
 from chicorycart.steering.receivers import ReportReceiver
 from chicorycart.steering.receivers import ReturnReceiver
 from chicorycart.steering.searching import OwnerSearch
@@ -104,7 +105,9 @@
         )
         self.link.register(MessageKind.RETURN, ReturnReceiver(self.steerer))
         self.prober = SuspectProber(self.directory, health, self.link)
-        self.link.register(MessageKind.PROBE_ANSWER, self.prober)
+        self.link.register(
+            MessageKind.PROBE_ANSWER, LoadReceiver(self.steerer)
+        )
         self.pages = Pages(settings, self.metrics, self)
         self.add_readings(events)
         self.stopping = False
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -24,6 +24,10 @@
 """Time for which a packet waits until a target that may take it is heard;
 about the time until its caller gives the attempt up."""
 
+FRESH_SECONDS = 0.1
+"""Wait after which an answer is hardly in time any more: the shortest aim of
+the users' callers (143 ms) less the work of such a request."""
+
 MAX_PARKED = 2_048
 """Packets that wait so at once; 3 MB with the largest."""
 
--- a/chicorycart/steering/messages.capnp
+++ b/chicorycart/steering/messages.capnp
@@ -22,7 +22,8 @@
 }
 
 struct ProbeAnswer {
-  # Tells a balancer that an agent runs and that its host is not silent.
+  # Tells a balancer that an agent runs and that its host is not silent, or
+  # that the host has room after it declined a flow.
   load @0 :TargetLoad;
 }
 
--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -85,10 +85,13 @@
             return
         state.copies = segment.copies
         if self.parked.is_waiting(state.flow):
-            self.parked.put(segment, state.offered_at)
+            self.parked.put(segment, state.offered_at, state.service)
             output.count("parked")
             return
         state.stop_timer()
+        if self.parked.has_openings(state.service):
+            self.park(state, segment)
+            return
         self.place(state, segment)
 
     def place(
@@ -159,7 +162,7 @@
         self.output.count("parked")
         state.tried.clear()
         state.declined.clear()
-        self.parked.put(segment, state.offered_at)
+        self.parked.put(segment, state.offered_at, state.service)
 
     def offer(
         self, state: SteeredFlow, segment: Segment, agent: Address, limit: int
--- a/chicorycart/steering/probes.py
+++ b/chicorycart/steering/probes.py
@@ -9,7 +9,6 @@
 from chicorycart.steering.directory import Directory
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.limits import PROBE_SECONDS
-from chicorycart.steering.messages import decode_probe_answer
 from chicorycart.steering.messages import encode_probe_answer
 from chicorycart.steering.messages import TargetLoad
 
@@ -25,14 +24,14 @@
 
 
 class SuspectProber:
-    """Probes suspended targets and takes their answers.
+    """Probes suspended targets; their answers end the suspension.
 
     Parameters
     ----------
     directory : Directory
         Targets that are worth a probe.
     health : HealthTable
-        Tells which are suspended and takes the answers.
+        Tells which are suspended.
     sender : Sender
         Sends to agents.
     """
@@ -63,10 +62,6 @@
             else:
                 self.health.forget(agent)
 
-    def receive(self, body: bytes, source: Address) -> None:
-        """Take the answer of an agent."""
-        self.health.note_answer(source, decode_probe_answer(body))
-
 
 class ProbeResponder:
     """Answers probes for as long as the own host is not silent.
--- a/chicorycart/steering/receivers.py
+++ b/chicorycart/steering/receivers.py
@@ -40,3 +40,22 @@
     def receive(self, body: bytes, source: Address) -> None:
         """Take one packet."""
         self.steerer.take_return(body, source)
+
+
+class LoadReceiver:
+    """Takes word of the load of agents that answer a probe or have room.
+
+    Parameters
+    ----------
+    steerer : Steerer
+        Where the word goes.
+    """
+
+    __slots__ = ("steerer",)
+
+    def __init__(self, steerer: Steerer):
+        self.steerer = steerer
+
+    def receive(self, body: bytes, source: Address) -> None:
+        """Take one load."""
+        self.steerer.take_load(body, source)
--- a/chicorycart/steering/relay.py
+++ b/chicorycart/steering/relay.py
@@ -1,5 +1,7 @@
 """Passes packets between balancers, an agent's own host and callers."""
 
+from collections import OrderedDict
+
 from chicorycart.address import Address
 from chicorycart.configuration.model import hash_name
 from chicorycart.links.datagrams import MessageKind
@@ -15,6 +17,7 @@
 from chicorycart.steering.hosted import HostedFlows
 from chicorycart.steering.messages import decode_delivery
 from chicorycart.steering.messages import DeliveryHeader
+from chicorycart.steering.messages import encode_probe_answer
 from chicorycart.steering.messages import encode_report
 from chicorycart.steering.messages import encode_return
 from chicorycart.steering.messages import FlowReport
@@ -59,6 +62,7 @@
         "packets",
         "accept_times",
         "answer_times",
+        "waiting",
         "is_stopping",
     )
 
@@ -94,6 +98,7 @@
             "chicorycart_agent_answer_seconds",
             "Time from a request to the host's answer.",
         )
+        self.waiting: OrderedDict[Address, int] = OrderedDict()
         self.is_stopping = False
 
     def receive(self, body: bytes, source: Address) -> None:
@@ -103,8 +108,13 @@
         reason = self.find_objection(header, segment)
         if reason is not None:
             self.give_back(packet, source, reason, segment)
+            if reason is ReturnReason.BUSY:
+                self.waiting[source] = header.limit
             return
         self.flows.note_inbound(segment, source)
+        if segment.is_opening and self.is_full(header):
+            # The balancer knows by itself that there is no room for another.
+            self.waiting[source] = header.limit
         self.count("delivered")
         self.socket.send(packet, self.host)
 
@@ -118,9 +128,11 @@
             return None
         if self.is_stopping:
             return ReturnReason.STOPPING
-        if header.limit and self.flows.count_work() >= header.limit:
-            return ReturnReason.BUSY
-        return None
+        return ReturnReason.BUSY if self.is_full(header) else None
+
+    def is_full(self, header: DeliveryHeader) -> bool:
+        """Tell whether the host has as much to do as a balancer allows."""
+        return 0 < header.limit <= self.flows.count_work()
 
     def take(self, data: bytes, source: Address) -> None:
         """Take a packet from the own host."""
@@ -155,6 +167,24 @@
             )
         if segment.is_closing:
             self.flows.drop(segment.flow)
+        self.tell_room()
+
+    def tell_room(self) -> None:
+        """Tell as many balancers as the host has room for more flows.
+
+        Those are told whose last flow took the last place or was declined,
+        the one that waits for longest first; each offers one flow and goes
+        on from the answer.
+        """
+        offers = 0
+        while self.waiting:
+            balancer, limit = next(iter(self.waiting.items()))
+            if self.flows.count_work() + offers >= limit:
+                return
+            del self.waiting[balancer]
+            offers += 1
+            answer = encode_probe_answer(self.flows.describe_load())
+            self.sender.send(MessageKind.PROBE_ANSWER, answer, balancer)
 
     def measure(self, segment: Segment, seconds: float) -> None:
         """Take the time that the host needed into the histograms."""
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -9,6 +9,7 @@
 from chicorycart.steering.flows import SteeredFlow
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.limits import RESUMED_AT_ONCE
+from chicorycart.steering.messages import decode_probe_answer
 from chicorycart.steering.messages import decode_report
 from chicorycart.steering.messages import decode_return
 from chicorycart.steering.messages import ReturnHeader
@@ -101,6 +102,11 @@
         state.agent = source
         state.is_confirmed = True
 
+    def take_load(self, body: bytes, source: Address) -> None:
+        """Take word of the load of an agent that may take a flow."""
+        self.health.note_answer(source, decode_probe_answer(body))
+        self.fill(source)
+
     def take_return(self, body: bytes, source: Address) -> None:
         """Take a packet back that an agent cannot deliver."""
         header, packet = decode_return(body)
--- a/tests/steering/waves.feature
+++ b/tests/steering/waves.feature
@@ -99,3 +99,9 @@
     And host "h2" is 20 times slower than the others
     When 40 callers ask within 0.04 s and what is logged is kept
     Then each reset caller has lines "flow_waits" and "flow_reset"
+
+  Scenario: Callers that can all be answered in time wait in the order they came
+    Given a fleet of 2 hosts and 1 balancers
+    When 24 callers keep asking by new flows for 4 s
+    Then no caller was refused
+    And no caller waited longer than 0.25 s
--- a/tests/steering/waves_steps.py
+++ b/tests/steering/waves_steps.py
@@ -327,3 +327,30 @@
         for event in (first, second):
             start = f"event={event} {flow}"
             assert any(line.startswith(start) for line in context.lines), start
+
+
+@when("{count:d} callers keep asking by new flows for {seconds:g} s")
+def keep_asking(context, count, seconds):
+    async def ask_on(until):
+        while get_running_loop().time() < until:
+            (caller,) = await ask_within(context, 1, 0.0)
+            del context.fleet.callers[caller.address]
+
+    async def run():
+        await context.fleet.settle()
+        until = get_running_loop().time() + seconds
+        await gather(*(ask_on(until) for _ in range(count)))
+
+    context.run(run())
+
+
+@then("no caller was refused")
+def check_no_refusal(context):
+    assert context.callers
+    assert not any(caller.resets for caller in context.callers)
+
+
+@then("no caller waited longer than {seconds:g} s")
+def check_waits(context, seconds):
+    longest = max(caller.open_seconds for caller in context.callers)
+    assert longest <= seconds, longest
