Refuse waiting flows at once when the last target is gone

Cause, found on reading: flows that wait, and new ones behind them, stood in line for 1 s also when no target was left that could ever take them.

--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -288,21 +288,20 @@
     def find_room(self, agent: Address) -> Member | None:
         """Return the target beside an agent if it may take another flow."""
         member = self.choice.directory.find_agent(agent.host)
-        return member if self.can_queue(member) else None
+        if member is None or not self.can_queue(member):
+            return None
+        return member
 
-    def has_room(self, state: SteeredFlow) -> bool:
-        """Tell whether a target that is heard may take a waiting flow."""
+    def can_go_on(self, state: SteeredFlow) -> bool:
+        """Tell whether a waiting flow has a target with room, or none."""
         member = self.choice.choose(state.service, state.flow, ())
-        return self.can_queue(member)
+        return member is None or self.can_queue(member)
 
-    def can_queue(self, member: Member | None) -> bool:
+    def can_queue(self, member: Member) -> bool:
         """Tell whether a flow may be offered to a target, behind others."""
-        return (
-            member is not None
-            and self.choice.may_take(member)
-            and self.health.has_room(
-                member.target.agent, QUEUE_PER_SLOT * member.target.slots
-            )
+        limit = QUEUE_PER_SLOT * member.target.slots
+        return self.choice.may_take(member) and self.health.has_room(
+            member.target.agent, limit
         )
 
 
--- a/chicorycart/steering/relay.py
+++ b/chicorycart/steering/relay.py
@@ -48,6 +48,14 @@
         Logs what becomes of flows.
     metrics : Metrics
         Where the counters are kept.
+
+    Attributes
+    ----------
+    waiting : dict of Address to int
+        Balancers to tell of room, by the requests in progress below which
+        they offer another flow.
+    is_stopping : bool
+        Whether no more flows are taken.
     """
 
     __slots__ = (
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -165,7 +165,7 @@
     def can_go_on(self, state: SteeredFlow, segment: Segment) -> bool:
         """Tell whether a waiting packet has a target that may take it."""
         if segment.is_opening:
-            return state.timer is None and self.placer.has_room(state)
+            return state.timer is None and self.placer.can_go_on(state)
         return not self.health.is_suspended(state.agent)
 
     def expire(self, segment: Segment) -> None:
--- a/tests/steering/waves.feature
+++ b/tests/steering/waves.feature
@@ -105,3 +105,9 @@
     When 24 callers keep asking by new flows for 4 s
     Then no caller was refused
     And no caller waited longer than 0.25 s
+
+  Scenario: Callers are refused at once when the last target is gone for good
+    Given a fleet of 1 hosts and 1 balancers
+    And host "h1" is 50 times slower than the others
+    When 30 callers wait for "h1", it drains and 30 more ask
+    Then the 30 callers were refused within 0.65 s
--- a/tests/steering/waves_steps.py
+++ b/tests/steering/waves_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 from logbook import TestHandler
 
+from chicorycart.steering.published import ListedState
 from tests.standins.ends import ENTRY
 from tests.standins.steered import OTHER_ENTRY
 from tests.standins.steered import OTHER_SERVICE
@@ -354,3 +355,23 @@
 def check_waits(context, seconds):
     longest = max(caller.open_seconds for caller in context.callers)
     assert longest <= seconds, longest
+
+
+@when('{count:d} callers wait for "{name}", it drains and {more:d} more ask')
+def drain_last(context, count, name, more):
+    async def run():
+        await context.fleet.settle()
+        waiting = create_task(ask_within(context, count, 0.01))
+        await sleep(0.05)
+        context.fleet.list_host(name, state=ListedState.DRAINING)
+        context.later = await ask_within(context, more, 0.01)
+        await waiting
+
+    context.run(run())
+
+
+@then("the {count:d} callers were refused within {seconds:g} s")
+def check_refused(context, count, seconds):
+    refused = [c for c in context.later if c.resets]
+    assert len(refused) == count, len(refused)
+    assert max(caller.open_seconds for caller in refused) <= seconds
