--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,10 +3,13 @@
 Exits with 1 if a promise was broken.
 """
 
+from asyncio import current_task
 from asyncio import gather
+from asyncio import get_running_loop
 from asyncio import run
 from asyncio import Semaphore
 from pathlib import Path
+from signal import SIGTERM
 import sys
 from time import time
 from typing import Annotated
@@ -38,6 +41,8 @@
     """Play seeds, some at a time; return how many broke a promise."""
     slots = Semaphore(jobs)
     failed = 0
+    # Cancelled, every seed ends the processes that it started.
+    get_running_loop().add_signal_handler(SIGTERM, current_task().cancel)
 
     async def play_one(seed):
         nonlocal failed
