Start processes, callers' socket and store of the stand-ins in one place

Found on reading the whole change once more: the scenarios of processes and measure.log_load started the same fleet by the same lines, now PlatformProcesses.start_all; the soak had its own socket and table of callers beside those of PlatformProcesses, and read the port by offset; the stand-in store began with three hosts that all but one user cleared; measure.placing kept a time in an attribute of the fleet. Assertions are as they were.

--- a/measure/log_load.py
+++ b/measure/log_load.py
@@ -17,17 +17,13 @@
 from typer import Option
 from typer import run as run_command
 
-from tests.standins.kv import encode
-from tests.standins.kv import make_config
-from tests.standins.kv import make_entry
 from tests.standins.kv import serve_store
 from tests.standins.kv import StandInStore
-from tests.standins.processes import HOST_PORT
 from tests.standins.processes import PlatformProcesses
 
 SECONDS = 60.0
 CALLERS = 20
-BALANCER = 4
+BALANCERS = {"b1": 4}
 HOSTS = {"h1": 2, "h2": 3}
 SERVICE = "dispatch"
 MILLISECONDS = 1e3
@@ -42,21 +38,6 @@
 """
 
 
-async def start(fleet: PlatformProcesses, store: StandInStore) -> None:
-    """Start the processes and wait until they serve."""
-    store.items.clear()
-    store.put("op/config", encode(make_config()))
-    for name, member in HOSTS.items():
-        ip = fleet.find_ip(member)
-        entry = make_entry(1, address=f"{ip}:{HOST_PORT}")
-        store.put(f"servers/{name}", encode(entry))
-        fleet.add_host(name, ip).work = 0.0
-        await fleet.start(name, ip, SERVICE)
-    await fleet.start("b1", fleet.find_ip(BALANCER))
-    for member in (*HOSTS.values(), BALANCER):
-        await fleet.wait_ready(fleet.find_ip(member))
-
-
 async def ask_until(
     fleet: PlatformProcesses, until: float, times: list[float]
 ) -> None:
@@ -88,7 +69,9 @@
     if mode == "none":
         fleet.program = ("-c", WITHOUT_LOGS)
     try:
-        await start(fleet, store)
+        await fleet.start_all(store, SERVICE, HOSTS, BALANCERS)
+        for host in fleet.hosts.values():
+            host.work = 0.0
         if mode == "unread":
             for reader in fleet.readers:
                 reader.cancel()
--- a/measure/placing.py
+++ b/measure/placing.py
@@ -89,11 +89,11 @@
     return times
 
 
-async def follow(fleet: SteeredFleet, pattern: str) -> None:
+async def follow(fleet: SteeredFleet, pattern: str, began: float) -> None:
     """Let hosts turn slow, crash or be cold, and be well again."""
     hosts = list(fleet.hosts.values())
     for now in (BEGIN, END):
-        await sleep(now - get_running_loop().time() + fleet.began)
+        await sleep(now - get_running_loop().time() + began)
         for number, host in enumerate(hosts):
             work = find_work(pattern, number, now)
             host.is_silent = work is None
@@ -107,8 +107,7 @@
         fleet.add_host(f"h{number}", SERVICE, slots=SLOTS, work=WORK_SECONDS)
     await fleet.settle()
     loop = get_running_loop()
-    fleet.began = loop.time()
-    following = create_task(follow(fleet, pattern))
+    following = create_task(follow(fleet, pattern, loop.time()))
 
     async def ask(arrival: float) -> float:
         await sleep(arrival)
--- a/tests/platform_adapter/store_steps.py
+++ b/tests/platform_adapter/store_steps.py
@@ -30,7 +30,10 @@
 @given("a stand-in of the store with 3 hosts and a configuration")
 def start_store(context):
     async def start():
-        context.store = StandInStore()
+        store = context.store = StandInStore()
+        store.put("op/config", encode(make_config()))
+        for number in (1, 2, 3):
+            store.put(f"servers/i-{number}", encode(make_entry(number)))
         context.server, port = serve_store(context.store)
         context.client = MetadataStore(
             HttpSource([f"http://127.0.0.1:{port}"])
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -65,7 +65,6 @@
         self.place_count = places
         self.promises = Promises()
         self.kv = StandInStore()
-        self.kv.items.clear()
         self.server, self.store_port = serve_store(self.kv)
         self.fleet = PlatformProcesses("")
         self.links = DatagramProxy(self.fleet.network, self.random)
@@ -80,7 +79,6 @@
         self.version = 0
         self.births = 1_000
         self.next_port = FIRST_PORT
-        self.callers = {}
         self.tasks = []
 
     async def start(self):
@@ -92,9 +90,7 @@
             self.add_host(place, service)
         for _ in range(self.balancer_count):
             await self.add_balancer()
-        address = Address(self.fleet.find_ip(CALLERS), FABRIC_PORT)
-        self.answers = self.fleet.network.open(address)
-        self.answers.start(self)
+        self.fleet.open_answers()
         for daemon in (*self.balancers, *self.agents):
             await self.fleet.wait_ready(daemon.ip)
         await self.all_in_rotation.wait()
@@ -203,22 +199,16 @@
         if self.in_rotation:
             number = caller.address.port % len(self.in_rotation)
             ip = self.in_rotation[number].ip
-            self.answers.send(data, Address(ip, FABRIC_PORT))
+            self.fleet.answers.send(data, Address(ip, FABRIC_PORT))
 
     def make_caller(self, entry):
         """Return a caller with a new port."""
         self.next_port += 1
         ip = self.fleet.find_ip(CALLERS)
         caller = SoakCaller(self, ip, self.next_port, entry)
-        self.callers[caller.address.port] = caller
+        self.fleet.callers[caller.address] = caller
         return caller
 
-    def take(self, data, source):
-        """Hand a packet to the caller that it is for."""
-        caller = self.callers.get(int.from_bytes(data[6:8], "big"))
-        if caller is not None:
-            caller.take(data, source)
-
     def find_owner(self, caller):
         """Return the live host that holds the open flow of a caller."""
         flow = (caller.address, caller.entry)
--- a/tests/standins/kv.py
+++ b/tests/standins/kv.py
@@ -64,9 +64,6 @@
         self.answering.set()
         self.kept_since = 0
         self.changed = Event()
-        self.put("op/config", encode(make_config()))
-        for number in (1, 2, 3):
-            self.put(f"servers/i-{number}", encode(make_entry(number)))
 
     def put(self, key, value):
         """Write an item."""
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -25,6 +25,9 @@
 from tests.standins.ends import read_head
 from tests.standins.ends import StandInCaller
 from tests.standins.ends import StandInHost
+from tests.standins.kv import encode
+from tests.standins.kv import make_config
+from tests.standins.kv import make_entry
 from tests.standins.layout import Network
 from tests.standins.world import ROOT
 
@@ -223,12 +226,30 @@
         number = caller.address.port % len(self.balancers)
         self.answers.send(data, self.balancers[number])
 
+    async def start_all(self, store, service, hosts, balancers):
+        """Start the daemons of one service; members by name."""
+        store.put("op/config", encode(make_config()))
+        for name, member in hosts.items():
+            ip = self.find_ip(member)
+            entry = make_entry(1, address=f"{ip}:{HOST_PORT}")
+            store.put(f"servers/{name}", encode(entry))
+            self.add_host(name, ip)
+            await self.start(name, ip, service)
+        for name, member in balancers.items():
+            await self.start(name, self.find_ip(member))
+        for member in (*hosts.values(), *balancers.values()):
+            await self.wait_ready(self.find_ip(member))
+
+    def open_answers(self):
+        """Open the socket that callers send and get packets by."""
+        address = Address(self.find_ip(CALLERS), FABRIC_PORT)
+        self.answers = self.network.open(address)
+        self.answers.start(self)
+
     def make_caller(self):
         """Return a caller with a new port."""
         if self.answers is None:
-            address = Address(self.find_ip(CALLERS), FABRIC_PORT)
-            self.answers = self.network.open(address)
-            self.answers.start(self)
+            self.open_answers()
         self.next_port += 1
         caller = StandInCaller(
             self.network,
--- a/tests/system/steering_steps.py
+++ b/tests/system/steering_steps.py
@@ -11,12 +11,8 @@
 from behave import when
 
 from chicorycart.platform.settings import METRICS_PORT
-from tests.standins.kv import encode
-from tests.standins.kv import make_config
-from tests.standins.kv import make_entry
 from tests.standins.kv import serve_store
 from tests.standins.kv import StandInStore
-from tests.standins.processes import HOST_PORT
 from tests.standins.processes import PlatformProcesses
 
 SERVICE = "dispatch"
@@ -33,21 +29,10 @@
 
 async def start(context):
     store = StandInStore()
-    store.items.clear()
-    store.put("op/config", encode(make_config()))
     server, port = serve_store(store)
     context.cleanups.callback(server.stop)
     fleet = context.fleet = PlatformProcesses(f"127.0.0.1:{port}")
-    for name, member in HOSTS.items():
-        ip = fleet.find_ip(member)
-        entry = make_entry(1, address=f"{ip}:{HOST_PORT}")
-        store.put(f"servers/{name}", encode(entry))
-        fleet.add_host(name, ip)
-        await fleet.start(name, ip, SERVICE)
-    for name, member in BALANCERS.items():
-        await fleet.start(name, fleet.find_ip(member))
-    for member in (*HOSTS.values(), *BALANCERS.values()):
-        await fleet.wait_ready(fleet.find_ip(member))
+    await fleet.start_all(store, SERVICE, HOSTS, BALANCERS)
 
 
 @given("nobody reads what the processes write")
