Prove by the store's history that no live host is unlisted

Ruled out: resetting at once (a host whose entry lapsed would lose its flows); history alone (three former hosts had lapsed before the first read and no change in 20 s told their address).

Change: when a flow seems to be held by no host, the balancer reads the history of the entries. A host that vanished without draining, and whose address no younger host has, may live and is asked for its flows. The list is complete if all who vanished are known and the changes go back beyond the time in which lapsed hosts return, or if every host is warming up. Flows that were left are decided on as soon as that is known.

--- a/chicorycart/platform/store.py
+++ b/chicorycart/platform/store.py
@@ -15,11 +15,14 @@
 from chicorycart.steering.errors import HistoryLostError
 from chicorycart.steering.errors import StoreError
 from chicorycart.steering.published import Changes
+from chicorycart.steering.published import ENTRY_REMOVED
 from chicorycart.steering.published import ListingChange
 
 ALL_KEYS = ""
 OK = 200
 GONE = 410
+SHORTEST_WAIT_MS = 1
+"""Wait of a watch whose events are in the past."""
 
 
 class MetadataStore:
@@ -61,6 +64,18 @@
         page = await self.call("/kv-watch", query, seconds + answer_seconds)
         return decode_changes(read_revision(page), read_items(page, "events"))
 
+    async def recall(
+        self, after: int, answer_seconds: float
+    ) -> list[ListingChange]:
+        """Return the changes of entries above a revision, in their order."""
+        query = {
+            "prefix": SERVER_PREFIX,
+            "after": after,
+            "waitMs": SHORTEST_WAIT_MS,
+        }
+        page = await self.call("/kv-watch", query, answer_seconds)
+        return [decode_listing(item) for item in read_items(page, "events")]
+
     async def call(
         self, path: str, query: dict[str, Any], seconds: float
     ) -> dict[str, Any]:
@@ -138,12 +153,14 @@
     name = item["key"].removeprefix(SERVER_PREFIX)
     revision = item["revision"]
     if item.get("tombstone"):
-        return ListingChange(name, revision, None, "entry removed")
+        return ListingChange(name, revision, None, ENTRY_REMOVED)
     try:
         listing = decode_server(name, read_value(item))
     except StoreError as error:
         return ListingChange(name, revision, None, str(error))
-    return ListingChange(name, revision, listing)
+    return ListingChange(
+        name, revision, listing, is_new=item.get("createRev") == revision
+    )
 
 
 def read_value(item: dict[str, Any]) -> Any:
--- a/chicorycart/steering/balancer.py
+++ b/chicorycart/steering/balancer.py
@@ -28,6 +28,7 @@
 from chicorycart.steering.follow import RoutesInForce
 from chicorycart.steering.follow import StoreFollower
 from chicorycart.steering.health import HealthTable
+from chicorycart.steering.history import HistoryCheck
 from chicorycart.steering.limits import MIN_WATCH_SECONDS
 from chicorycart.steering.limits import PAGES_SECONDS
 from chicorycart.steering.limits import RESUME_SECONDS
@@ -94,6 +95,7 @@
             clock,
             choose_watch_seconds(settings.bounds),
         )
+        self.history = HistoryCheck(store, self.directory, self.follower)
         self.link = DatagramLink(
             self.link_socket, self.directory, tally_dropped(self.metrics)
         )
@@ -130,7 +132,7 @@
         return Steerer(
             codec,
             FlowPlacer(choice, health, parked, output, self.metrics),
-            OwnerSearch(choice, health, parked, output),
+            OwnerSearch(choice, health, parked, output, self.history),
             health,
             parked,
             output,
@@ -212,6 +214,7 @@
         self.link_socket.start(self.link)
         return [
             create_task(self.follower.run()),
+            create_task(self.history.run()),
             create_task(self.serve_fabric()),
             create_task(self.prober.run()),
             create_task(self.resume_waiting()),
--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -243,9 +243,7 @@
         for member in [m for m in members.values() if m.lapses_at is not None]:
             if now >= member.lapses_at:
                 self.discard(member)
-                self.departed[member.target.agent] = Departure(
-                    service, now + self.flow_seconds
-                )
+                self.note_departed(member.listing)
                 LOGGER.warning(
                     "event=target_gone target={} reason={!r}",
                     member.listing.name,
@@ -253,6 +251,14 @@
                 )
         return list(members.values())
 
+    def note_departed(self, listing: Listing) -> None:
+        """Take note of a host that may live although it is not listed."""
+        agent = Address(listing.address.host, self.agent_port)
+        if agent.host not in self.by_agent:
+            self.departed[agent] = Departure(
+                listing.service, self.clock.now() + self.flow_seconds
+            )
+
     def list_departed(self, service: str) -> list[Address]:
         """Return the agents of a service that vanished unannounced."""
         now = self.clock.now()
--- a/chicorycart/steering/follow.py
+++ b/chicorycart/steering/follow.py
@@ -78,6 +78,9 @@
         Time of its last answer.
     regained_at : float
         Time of the first answer, or of the first after a failure.
+    is_checked, is_complete : bool
+        Whether the store's history was read since then, if it could be, and
+        whether it proved that every live target is known.
     failed, calls : int
         Calls so far that failed, and all of them.
     """
@@ -95,6 +98,8 @@
         "lost_at",
         "heard_at",
         "regained_at",
+        "is_checked",
+        "is_complete",
         "serving",
         "failed",
         "calls",
@@ -121,6 +126,8 @@
         self.lost_at: float | None = None
         self.heard_at: float | None = None
         self.regained_at = 0.0
+        self.is_checked = False
+        self.is_complete = False
         self.serving = Event()
         self.failed = 0
         self.calls = 0
@@ -181,14 +188,19 @@
         return self.clock.now() - (self.heard_at or 0.0)
 
     def lists_all(self) -> bool:
-        """Tell whether every live target is listed by now.
+        """Tell whether every live target is known by now.
 
         Entries that lapsed while the store was away, also for others, may
-        still be missing for a short time after the first answer.
+        still be missing for a short time after the first answer, unless the
+        store's history proves that none is. Hosts that lapsed before are only
+        known from the history.
         """
-        if self.lost_at is not None or self.heard_at is None:
+        if self.lost_at is not None or not self.is_checked:
             return False
-        return self.clock.now() - self.regained_at > RELISTING_SECONDS
+        return (
+            self.is_complete
+            or self.clock.now() - self.regained_at > RELISTING_SECONDS
+        )
 
     def note_lost(self, error: StoreError) -> None:
         """Log and count a failed call; what is known stays in force."""
@@ -209,6 +221,7 @@
         now = self.clock.now()
         if self.heard_at is None or self.lost_at is not None:
             self.regained_at = now
+            self.is_checked = self.is_complete = False
         self.heard_at = now
         self.backoff.reset()
         self.answer_seconds = ANSWER_SECONDS
--- /dev/null
+++ b/chicorycart/steering/history.py
@@ -0,0 +1,279 @@
+"""Tells from the store's history whether a live target may be unlisted."""
+
+from asyncio import Event
+from collections.abc import Collection
+
+from logbook import Logger
+
+from chicorycart.steering.directory import Directory
+from chicorycart.steering.errors import HistoryLostError
+from chicorycart.steering.errors import StoreError
+from chicorycart.steering.follow import StoreFollower
+from chicorycart.steering.limits import HISTORY_CALLS
+from chicorycart.steering.limits import HISTORY_PROOF_SECONDS
+from chicorycart.steering.limits import HISTORY_STEP
+from chicorycart.steering.limits import MIN_STARTED_HOSTS
+from chicorycart.steering.published import ENTRY_REMOVED
+from chicorycart.steering.published import ListedState
+from chicorycart.steering.published import Listing
+from chicorycart.steering.published import ListingChange
+from chicorycart.steering.published import PublishedStore
+
+LOGGER = Logger("store")
+MILLISECONDS = 1000
+STEP_GROWTH = 4
+
+
+class Absences:
+    """The hosts that vanished from the store and may live.
+
+    Attributes
+    ----------
+    hosts : list of Listing
+        Those whose address is known.
+    unknown : list of str
+        Names of those whose address no change tells.
+    is_bounded : bool
+        Whether any other host that lapsed has had the time to come back.
+    """
+
+    __slots__ = ("hosts", "unknown", "is_bounded")
+
+    def __init__(
+        self, hosts: list[Listing], unknown: list[str], is_bounded: bool
+    ):
+        self.hosts = hosts
+        self.unknown = unknown
+        self.is_bounded = is_bounded
+
+    @property
+    def are_known(self) -> bool:
+        """Whether no live target is unlisted but the hosts named here."""
+        return self.is_bounded and not self.unknown
+
+
+def find_absences(
+    changes: Collection[ListingChange],
+    listed: Collection[Listing],
+    is_whole: bool,
+) -> Absences:
+    """Return which hosts may live although they are not listed.
+
+    A host that left after draining is gone, and so is one whose address a
+    younger host has. An entry that cannot be read names no host.
+
+    Parameters
+    ----------
+    changes : collection of ListingChange
+        All changes since some revision, in their order.
+    listed : collection of Listing
+        The entries after them.
+    is_whole : bool
+        Whether the changes go back to the store's first one.
+    """
+    present = {listing.name for listing in listed}
+    youngest = {
+        listing.address.host: listing.incarnation for listing in listed
+    }
+    hosts = []
+    unknown = []
+    for name, listing in find_last(changes).items():
+        if name in present:
+            continue
+        if listing is None:
+            unknown.append(name)
+        elif listing.state is not ListedState.DRAINING and (
+            youngest.get(listing.address.host, 0) <= listing.incarnation
+        ):
+            hosts.append(listing)
+    is_bounded = is_whole or tells_past(changes, listed)
+    return Absences(hosts, unknown, is_bounded)
+
+
+def find_last(
+    changes: Collection[ListingChange],
+) -> dict[str, Listing | None]:
+    """Return what was told last of each host; None if only its removal was."""
+    last: dict[str, Listing | None] = {}
+    unreadable = set()
+    for change in changes:
+        if change.listing is not None:
+            last[change.name] = change.listing
+        elif change.reason != ENTRY_REMOVED:
+            unreadable.add(change.name)
+        elif change.name not in unreadable:
+            last.setdefault(change.name, None)
+    return last
+
+
+def tells_past(
+    changes: Collection[ListingChange], listed: Collection[Listing]
+) -> bool:
+    """Tell whether changes go back beyond the time for lapsed hosts to return.
+
+    The store does not date its changes. But a host is listed first at its
+    start, and it told when that was; the latest start is in the past.
+    """
+    starts = [
+        change.listing.incarnation
+        for change in changes
+        if change.listing is not None
+        and change.is_new
+        and change.listing.incarnation
+    ]
+    if not starts:
+        return False
+    latest = max([*starts, *(listing.incarnation for listing in listed)])
+    return latest - min(starts) >= HISTORY_PROOF_SECONDS * MILLISECONDS
+
+
+def have_all_started(
+    listed: Collection[Listing], absent: Collection[str]
+) -> bool:
+    """Tell whether a deployment has just started again as a whole.
+
+    Every host is still warming up then, and those that vanished are the
+    former ones, whose entries lapse a short time after the new ones came.
+    """
+    ready = [
+        listing for listing in listed if listing.state is ListedState.READY
+    ]
+    return len(ready) >= max(len(absent), MIN_STARTED_HOSTS) and all(
+        listing.cold_seconds > 0 for listing in ready
+    )
+
+
+class HistoryCheck:
+    """Reads the store's history when a flow seems to be held by no host.
+
+    Parameters
+    ----------
+    store : PublishedStore
+        Where the history is read.
+    directory : Directory
+        Takes the hosts that may live although they are not listed.
+    follower : StoreFollower
+        Told once every live target is known.
+
+    Attributes
+    ----------
+    changes : list of ListingChange
+        What was read last.
+    is_whole : bool
+        Whether that goes back to the store's first change.
+    """
+
+    __slots__ = (
+        "store",
+        "directory",
+        "follower",
+        "wanted",
+        "changes",
+        "is_whole",
+    )
+
+    def __init__(
+        self,
+        store: PublishedStore,
+        directory: Directory,
+        follower: StoreFollower,
+    ):
+        self.store = store
+        self.directory = directory
+        self.follower = follower
+        self.wanted = Event()
+        self.changes: list[ListingChange] = []
+        self.is_whole = False
+
+    def ask(self) -> None:
+        """Judge anew, by the history as read since the store's return."""
+        if not self.follower.is_checked:
+            self.wanted.set()
+        elif not self.follower.is_complete:
+            self.judge()
+
+    async def run(self) -> None:
+        """Read the history as often as it is asked for."""
+        while True:
+            await self.wanted.wait()
+            self.wanted.clear()
+            if not self.follower.is_checked:
+                await self.check()
+
+    async def check(self) -> None:
+        """Look for hosts that vanished, as far back as the store knows."""
+        follower = self.follower
+        regained_at = follower.regained_at
+        revision = follower.revision
+        try:
+            after, self.changes = await self.read(revision)
+        except StoreError as error:
+            after, self.changes = revision, []
+            LOGGER.warning(
+                "event=history_unread revision={} reason={!r}",
+                revision,
+                str(error),
+            )
+        self.is_whole = after == 0
+        if regained_at != follower.regained_at:
+            # What was read held before the store was lost again.
+            return
+        follower.is_checked = True
+        absences = self.judge()
+        for listing in absences.hosts:
+            self.directory.note_departed(listing)
+        LOGGER.info(
+            "event=history_read after={} revision={} changes={} absent={}"
+            " unknown={} complete={}",
+            after,
+            revision,
+            len(self.changes),
+            ",".join(listing.name for listing in absences.hosts),
+            ",".join(absences.unknown),
+            follower.is_complete,
+        )
+
+    def judge(self) -> Absences:
+        """Tell the follower if every live target is known."""
+        listed = self.list_known()
+        absences = find_absences(self.changes, listed, self.is_whole)
+        self.follower.is_complete = absences.are_known or have_all_started(
+            listed, absences.unknown
+        )
+        return absences
+
+    def list_known(self) -> list[Listing]:
+        """Return the entries as they are known now."""
+        return [m.listing for m in self.directory.members.values()]
+
+    async def read(self, revision: int) -> tuple[int, list[ListingChange]]:
+        """Return the earliest revision found that changes are known since.
+
+        The steps back begin small: most of what matters has just happened,
+        and nothing before a start of the whole deployment does.
+
+        Raises
+        ------
+        StoreError
+            If the store does not answer.
+        """
+        known, lost = revision, -1
+        changes: list[ListingChange] = []
+        step = HISTORY_STEP
+        for _ in range(HISTORY_CALLS):
+            after = max(known - step, (known + lost) // 2)
+            step *= STEP_GROWTH
+            self.follower.calls += 1
+            try:
+                changes = await self.store.recall(
+                    after, self.follower.answer_seconds
+                )
+                known = after
+            except HistoryLostError:
+                lost = after
+            listed = self.list_known()
+            absences = find_absences(changes, listed, known == 0)
+            has_started = have_all_started(listed, absences.unknown)
+            if has_started or known - lost <= 1:
+                break
+        return known, changes
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -98,6 +98,23 @@
 """Time after the first answer of the store in which entries that had lapsed
 come back; the pause between two watches delays the news of them."""
 
+HISTORY_PROOF_SECONDS = RELISTING_SECONDS + 5.0
+"""Time between the starts of two hosts from which on the store's history
+surely goes back beyond RELISTING_SECONDS; clocks that hosts tell their start
+by may jump by some seconds."""
+
+MIN_STARTED_HOSTS = 2
+"""Hosts that must all be warming up before a deployment is taken to have
+started again as a whole; the start of a single one tells nothing of others."""
+
+HISTORY_STEP = 16
+"""Revisions of the first step back in the store's history; about the changes
+that a restart of ten hosts makes."""
+
+HISTORY_CALLS = 8
+"""Most calls of the store for one look at its history; each takes about
+10 ms, and a caller repeats its packet after 200 ms."""
+
 MAX_REMOVED = 4_096
 """Names of removed targets whose last revision is remembered, so that an old
 watch cannot list them again; all hosts of a hundred services restarted."""
--- a/chicorycart/steering/published.py
+++ b/chicorycart/steering/published.py
@@ -6,6 +6,8 @@
 from chicorycart.address import Address
 from chicorycart.steering.routes import RouteTable
 
+ENTRY_REMOVED = "entry removed"
+
 
 class ListedState(StrEnum):
     """What a host says of itself."""
@@ -82,10 +84,12 @@
     listing : Listing or None
         None if the entry was removed or cannot be read.
     reason : str
-        Why there is none.
+        Why there is none; ENTRY_REMOVED if it was removed.
+    is_new : bool
+        Whether there was no entry of this name just before.
     """
 
-    __slots__ = ("name", "revision", "listing", "reason")
+    __slots__ = ("name", "revision", "listing", "reason", "is_new")
 
     def __init__(
         self,
@@ -93,11 +97,13 @@
         revision: int,
         listing: Listing | None,
         reason: str = "",
+        is_new: bool = False,
     ):
         self.name = name
         self.revision = revision
         self.listing = listing
         self.reason = reason
+        self.is_new = is_new
 
 
 class Changes:
@@ -168,3 +174,23 @@
         StoreError
             If the store did not answer in its documented form.
         """
+
+    async def recall(
+        self, after: int, answer_seconds: float
+    ) -> list[ListingChange]:
+        """Return the changes of entries above a revision, in their order.
+
+        Parameters
+        ----------
+        after : int
+            The revision.
+        answer_seconds : float
+            Time that the answer may take.
+
+        Raises
+        ------
+        HistoryLostError
+            If not all of them are known any more.
+        StoreError
+            If the store did not answer in its documented form.
+        """
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -1,10 +1,14 @@
 """Finds the owner of an open flow that a balancer does not know."""
 
+from collections import OrderedDict
+
 from chicorycart.address import Address
 from chicorycart.packets.segment import Segment
 from chicorycart.steering.choice import TargetChoice
 from chicorycart.steering.flows import SteeredFlow
 from chicorycart.steering.health import HealthTable
+from chicorycart.steering.history import HistoryCheck
+from chicorycart.steering.limits import MAX_PARKED
 from chicorycart.steering.output import SteererOutput
 from chicorycart.steering.parked import ParkedPackets
 
@@ -26,9 +30,17 @@
         Keeps packets for targets that are silent for now.
     output : SteererOutput
         Sends packets.
+    history : HistoryCheck
+        Asked whether a live target may be unlisted.
+
+    Attributes
+    ----------
+    left : dict of bytes to Segment
+        Last packets of the flows that no known target holds, until every
+        live target is known.
     """
 
-    __slots__ = ("choice", "health", "parked", "output")
+    __slots__ = ("choice", "health", "parked", "output", "history", "left")
 
     def __init__(
         self,
@@ -36,11 +48,14 @@
         health: HealthTable,
         parked: ParkedPackets,
         output: SteererOutput,
+        history: HistoryCheck,
     ):
         self.choice = choice
         self.health = health
         self.parked = parked
         self.output = output
+        self.history = history
+        self.left: OrderedDict[bytes, Segment] = OrderedDict()
 
     def begin(self, segment: Segment) -> SteeredFlow | None:
         """Begin to look for the owner of a flow.
@@ -143,18 +158,39 @@
         """Reset a flow that every target told not to hold.
 
         While the store is away, and shortly after, a live owner that was
-        never heard of may be missing in the list, so the flow is left to its
-        caller then.
+        never heard of may be missing in the list. The flow is left to its
+        caller then until the list is known to be complete.
         """
-        self.output.flows.drop(state.flow)
-        if not (state.is_forgotten or self.output.follower.lists_all()):
-            self.output.count("unheld")
-            self.output.record(
-                "flow_left",
-                state.flow,
-                "missed={} reason={!r}",
-                len(state.missed),
-                "not all targets may be listed yet",
-            )
+        if state.is_forgotten or self.output.follower.lists_all():
+            self.left.pop(state.flow, None)
+            self.output.refuse(segment, "held by no target")
+            return
+        self.history.ask()
+        self.left[state.flow] = segment
+        if len(self.left) > MAX_PARKED:
+            self.left.popitem(last=False)
+        self.output.count("unheld")
+        self.output.record(
+            "flow_left",
+            state.flow,
+            "missed={} reason={!r}",
+            len(state.missed),
+            "not all targets may be listed yet",
+        )
+
+    def settle(self) -> None:
+        """Decide on the flows that were left, once every target is known."""
+        if not self.left:
+            return
+        if not self.output.follower.lists_all():
+            self.history.ask()
             return
-        self.output.refuse(segment, "held by no target")
+        left, self.left = self.left, OrderedDict()
+        for flow, segment in left.items():
+            state = self.output.flows.find(flow)
+            if state is None or state.is_confirmed:
+                continue
+            if self.advance(state):
+                self.pass_on(state, segment)
+            else:
+                self.give_up(state, segment)
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -130,6 +130,7 @@
 
     def resume(self) -> None:
         """Send on what waits for targets that are heard by now."""
+        self.search.settle()
         for segment in self.parked.take_expired():
             self.expire(segment)
         looked_at: Counter[str] = Counter()
--- a/measure/steering.py
+++ b/measure/steering.py
@@ -25,6 +25,7 @@
 from chicorycart.steering.follow import RoutesInForce
 from chicorycart.steering.follow import StoreFollower
 from chicorycart.steering.health import HealthTable
+from chicorycart.steering.history import HistoryCheck
 from chicorycart.steering.hosted import HostedFlows
 from chicorycart.steering.output import SteererOutput
 from chicorycart.steering.parked import ParkedPackets
@@ -76,6 +77,7 @@
             directory.apply(make_change(number))
         follower = StoreFollower(None, directory, RoutesInForce(), None, clock)
         entry = ENTRY + ENTRY_PORT.to_bytes(2, "big")
+        history = HistoryCheck(None, directory, follower)
         routes = RouteTable(1, [Route(entry, ((SERVICE, 1.0),))])
         follower.routes.take(routes)
         health = HealthTable(clock, events)
@@ -95,7 +97,7 @@
         self.steerer = Steerer(
             codec,
             FlowPlacer(choice, health, parked, output, metrics),
-            OwnerSearch(choice, health, parked, output),
+            OwnerSearch(choice, health, parked, output, history),
             health,
             parked,
             output,
--- a/tests/platform_adapter/store_steps.py
+++ b/tests/platform_adapter/store_steps.py
@@ -17,6 +17,7 @@
 from chicorycart.platform.store import MetadataStore
 from chicorycart.steering.errors import HistoryLostError
 from chicorycart.steering.errors import StoreError
+from chicorycart.steering.published import ENTRY_REMOVED
 from chicorycart.steering.published import ListedState
 from tests.standins.kv import encode
 from tests.standins.kv import make_config
@@ -202,3 +203,42 @@
     assert len(context.changes.listings) == 3
     assert context.changes.routes is None
     assert "op/config" in context.changes.fault
+
+
+def recall(context):
+    async def read():
+        return await context.client.recall(0, 0.5)
+
+    return context.run(read())
+
+
+@when("a host drains, another is removed and the client recalls the changes")
+def recall_changes(context):
+    context.store.put("servers/i-2", encode(make_entry(2, state="draining")))
+    context.store.remove("servers/i-3")
+    context.recalled = {c.name: c for c in recall(context)}
+
+
+@then("it has the first entry as new, the drain as a change and the removal")
+def check_recalled(context):
+    changes = context.recalled
+    assert sorted(changes) == ["i-1", "i-2", "i-3"]
+    assert changes["i-1"].is_new
+    assert not changes["i-2"].is_new
+    assert changes["i-2"].listing.state is ListedState.DRAINING
+    assert changes["i-3"].listing is None
+    assert changes["i-3"].reason == ENTRY_REMOVED
+
+
+@when("the history is discarded and the client recalls the changes")
+def recall_discarded(context):
+    context.store.forget_history()
+    try:
+        recall(context)
+    except HistoryLostError as error:
+        context.error = error
+
+
+@then("the history is lost")
+def check_lost(context):
+    assert isinstance(context.error, HistoryLostError)
--- a/tests/standins/kv.py
+++ b/tests/standins/kv.py
@@ -68,11 +68,13 @@
     def put(self, key, value):
         """Write an item."""
         self.revision += 1
+        known = self.items.get(key, {})
+        is_there = known and not known.get("tombstone")
         self.items[key] = {
             "key": key,
             "value": value,
             "revision": self.revision,
-            "createRev": self.revision,
+            "createRev": known["createRev"] if is_there else self.revision,
             "lease": 0,
         }
         self.changed.set()
@@ -133,7 +135,9 @@
             store.changed.clear()
             await store.changed.wait()
         events = [
-            i for i in store.items.values() if i["revision"] > int(after)
+            item
+            for item in store.items.values()
+            if item["revision"] > int(after) and item["key"].startswith(prefix)
         ]
         self.finish({"events": events, "currentRev": store.revision})
 
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -135,6 +135,7 @@
         state=ListedState.READY,
         born=1,
         domain=DOMAIN,
+        cold=0.0,
     ):
         """Write the entry of a host."""
         host = self.hosts[name]
@@ -147,7 +148,7 @@
                 host.slots,
                 state,
                 born,
-                0.0,
+                cold,
             )
         )
 
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -7,6 +7,7 @@
 from chicorycart.steering.errors import HistoryLostError
 from chicorycart.steering.errors import StoreError
 from chicorycart.steering.published import Changes
+from chicorycart.steering.published import ENTRY_REMOVED
 from chicorycart.steering.published import ListingChange
 
 ANSWER_SECONDS = 0.004
@@ -23,8 +24,8 @@
         Whether a call that waits hears nothing until it gives up.
     answer_seconds : float
         Time that an answer takes.
-    calls : int
-        Calls so far.
+    calls, recalls : int
+        Calls so far, and those for the history among them.
     """
 
     def __init__(self):
@@ -37,12 +38,16 @@
         self.is_silent = False
         self.answer_seconds = ANSWER_SECONDS
         self.calls = 0
+        self.recalls = 0
         self.changed = Event()
 
     def put(self, listing):
         """Write the entry of a host."""
         self.revision += 1
-        change = ListingChange(listing.name, self.revision, listing)
+        is_new = listing.name not in self.entries
+        change = ListingChange(
+            listing.name, self.revision, listing, is_new=is_new
+        )
         self.entries[listing.name] = change
         self.note(change)
 
@@ -57,7 +62,7 @@
         """Remove the entry of a host."""
         self.revision += 1
         del self.entries[name]
-        self.note(ListingChange(name, self.revision, None, "entry removed"))
+        self.note(ListingChange(name, self.revision, None, ENTRY_REMOVED))
 
     def configure(self, routes):
         """Write a configuration."""
@@ -119,3 +124,15 @@
             [c for c in changes if isinstance(c, ListingChange)],
             routes[-1] if routes else None,
         )
+
+    async def recall(self, after, answer_seconds):
+        """Return the changes of entries above a revision."""
+        self.recalls += 1
+        await self.answer(answer_seconds)
+        if after < self.kept_since:
+            raise HistoryLostError("history is discarded")
+        return [
+            change
+            for revision, change in self.history
+            if revision > after and isinstance(change, ListingChange)
+        ]
--- /dev/null
+++ b/tests/steering/history_steps.py
@@ -0,0 +1,174 @@
+"""Steps on what the store's history tells of unlisted targets."""
+
+from asyncio import sleep
+
+from behave import given
+from behave import then
+from behave import when
+
+from chicorycart.address import Address
+from chicorycart.steering.history import find_absences
+from chicorycart.steering.published import ENTRY_REMOVED
+from chicorycart.steering.published import ListedState
+from chicorycart.steering.published import Listing
+from chicorycart.steering.published import ListingChange
+from tests.standins.steered import DOMAIN
+from tests.standins.steered import HOST_PORT
+from tests.standins.steered import SERVICE
+
+OLDEST = 2
+YOUNGEST = 30
+SIGNS = {"+": ListedState.READY, "~": ListedState.DRAINING}
+REASONS = {"-": ENTRY_REMOVED, "?": "not JSON"}
+
+
+@given("{seconds:g} s later another host was listed")
+def list_later(context, seconds):
+    async def add():
+        await sleep(seconds)
+        context.fleet.add_host("h50", SERVICE)
+        context.fleet.list_host("h50", born=1 + int(seconds * 1000))
+        await context.fleet.settle()
+
+    context.run(add())
+
+
+COLD_SECONDS = 2.0
+
+
+@when(
+    "power is lost by every balancer and host and {hosts} of new names start"
+)
+def lose_power(context, hosts):
+    cold_seconds = COLD_SECONDS if hosts == "cold hosts" else 0.0
+
+    async def lose():
+        fleet = context.fleet
+        names = list(fleet.balancers)
+        for name in names:
+            fleet.kill_balancer(name)
+        for name in list(fleet.hosts):
+            host = fleet.hosts.pop(name)
+            host.restart()
+            host.name = f"n{name}"
+            fleet.hosts[host.name] = host
+            fleet.agents[host.name] = fleet.agents.pop(name)
+            fleet.tasks[f"{host.name}-agent"] = fleet.tasks.pop(
+                f"{name}-agent"
+            )
+            fleet.restart_agent(host.name)
+            fleet.list_host(host.name, born=40_000, cold=cold_seconds)
+        for name in names:
+            fleet.add_balancer(f"b{10 + int(name[1:])}")
+        await sleep(0.1)
+
+    context.run(lose())
+
+
+@when("the entries of {count:d} former hosts lapse")
+def lapse_former(context, count):
+    async def lapse():
+        former = [n for n in context.fleet.store.entries if n.startswith("h")]
+        for name in former[:count]:
+            context.fleet.store.remove(name)
+        await sleep(0.1)
+
+    context.run(lapse())
+
+
+@when('host "{name}" is cold')
+def make_cold(context, name):
+    context.fleet.list_host(name, cold=COLD_SECONDS)
+
+
+@when("the store answers in {seconds:g} s")
+def slow_store(context, seconds):
+    context.fleet.store.answer_seconds = seconds
+
+
+@given("the store discarded its history")
+@when("the store discards its history")
+def discard(context):
+    context.fleet.store.forget_history()
+
+
+@when(
+    'the entry of "{name}" has been gone for {seconds:g} s and balancer'
+    ' "{new}" starts in place of "{old}"'
+)
+def start_later(context, name, seconds, new, old):
+    async def start():
+        fleet = context.fleet
+        fleet.store.remove(name)
+        await sleep(seconds)
+        fleet.kill_balancer(old)
+        fleet.add_balancer(new)
+        await fleet.settle()
+
+    assert any(host == name for _, host in context.flows)
+    context.run(start())
+
+
+@then("the store was asked for its history at most {count:d} times")
+def check_recalls(context, count):
+    recalls = context.fleet.store.recalls
+    assert 0 < recalls <= count, recalls
+
+
+def make_listing(name, number, born_seconds, state=ListedState.READY):
+    """Return the entry of a host."""
+    address = Address(f"10.2.0.{number}", HOST_PORT)
+    born = born_seconds * 1000
+    return Listing(name, SERVICE, address, DOMAIN, 2, state, born, 0.0)
+
+
+@given(
+    'entries of "a" at address 1 born at 1 s and of "b" at address 2 born at'
+    " {seconds:d} s"
+)
+def make_entries(context, seconds):
+    context.places = {
+        "a": (1, 1),
+        "b": (2, seconds),
+        "c": (3, OLDEST),
+        "d": (1, YOUNGEST),
+        "e": (2, OLDEST),
+    }
+
+
+@given("changes {words}")
+def make_changes(context, words):
+    context.changes = []
+    seen = set()
+    for revision, word in enumerate(words.split(), 1):
+        name = word[1]
+        state = SIGNS.get(word[0])
+        listing = None
+        if state is not None:
+            listing = make_listing(name, *context.places[name], state)
+        is_new = word[0] == "+" and name not in seen
+        seen.add(name)
+        reason = REASONS.get(word[0], "")
+        change = ListingChange(name, revision, listing, reason, is_new)
+        context.changes.append(change)
+
+
+@when('the history is judged with "{names}" listed')
+def judge(context, names):
+    listed = [make_listing(n, *context.places[n]) for n in names.split()]
+    context.absences = find_absences(context.changes, listed, False)
+
+
+@then('"{absent}" may live unlisted and "{unknown}" cannot be found')
+@then('"{absent}" may live unlisted and "" cannot be found')
+@then('"" may live unlisted and "{unknown}" cannot be found')
+@then('"" may live unlisted and "" cannot be found')
+def check_absent(context, absent="", unknown=""):
+    names = [listing.name for listing in context.absences.hosts]
+    assert names == absent.split(), names
+    assert context.absences.unknown == unknown.split()
+
+
+@then("the list is {word}")
+def check_complete(context, word):
+    assert context.absences.are_known == (word == "complete")
