Let published aims, time-outs and priorities say who waits for how long

Cause: how long an opening packet is fresh (0.1 s) and may wait (1 s) were the figures of the first users; routes publish their aim, time-out and priority, and none of it was used.

Change: packets that wait go by the priority of their route, and are fresh for 0.7 of its aim; one is refused once its answer would come after the time-out. Ruled out: strict priority also over fresh packets of others, which would let what is late already go before what can be prompt.

Three new scenarios fail with fixed levels.

--- a/chicorycart/platform/items.py
+++ b/chicorycart/platform/items.py
@@ -1,5 +1,6 @@
 """What the items of the platform's store hold."""
 
+from math import inf
 from socket import inet_aton
 from typing import Any
 
@@ -8,8 +9,10 @@
 from chicorycart.steering.errors import StoreError
 from chicorycart.steering.published import ListedState
 from chicorycart.steering.published import Listing
+from chicorycart.steering.routes import DEFAULT_LEVEL
 from chicorycart.steering.routes import Route
 from chicorycart.steering.routes import RouteTable
+from chicorycart.steering.routes import ServiceLevel
 
 CONFIG_KEY = "op/config"
 SERVER_PREFIX = "servers/"
@@ -74,9 +77,11 @@
     entry = inet_aton(read_field(value, "hostname", str)) + port.to_bytes(
         PORT_BYTES, "big"
     )
+    level = decode_level(value)
     backends = value.get("backends")
     if not backends:
-        return Route(entry, ((read_field(value, "service", str), 1.0),))
+        service = read_field(value, "service", str)
+        return Route(entry, ((service, 1.0),), level)
     return Route(
         entry,
         tuple(
@@ -86,9 +91,35 @@
             )
             for backend in backends
         ),
+        level,
     )
 
 
+def decode_level(value: Any) -> ServiceLevel:
+    """Read what a route promises its callers; each part may be left out."""
+    return ServiceLevel(
+        read_seconds(value, "sloMs", DEFAULT_LEVEL.aim_seconds),
+        read_seconds(value, "timeoutMs", DEFAULT_LEVEL.timeout_seconds),
+        read_optional(value, "priority", int, DEFAULT_LEVEL.priority),
+    )
+
+
+def read_seconds(value: Any, name: str, default: float) -> float:
+    """Return a time that is given in milliseconds and may be left out.
+
+    Raises
+    ------
+    ValueError
+        If it is of another type, infinite, or not above 0.
+    """
+    found = read_optional(value, name, (int, float), None)
+    if found is None:
+        return default
+    if not 0 < found < inf:
+        raise ValueError(f"{name}: {found!r} is no time")
+    return found / MILLISECONDS
+
+
 def read_field(value: Any, name: str, kind: Any) -> Any:
     """Return a field that must be there.
 
--- a/chicorycart/steering/flows.py
+++ b/chicorycart/steering/flows.py
@@ -7,6 +7,8 @@
 from chicorycart.clock import Clock
 from chicorycart.steering.directory import Member
 from chicorycart.steering.limits import MAX_FLOWS
+from chicorycart.steering.routes import Route
+from chicorycart.steering.routes import ServiceLevel
 
 
 class SteeredFlow:
@@ -18,6 +20,8 @@
         Five-tuple.
     service : str
         Service that the flow belongs to.
+    level : ServiceLevel
+        What its route promises callers.
     agent : Address or None
         Where its packets are sent.
     is_confirmed : bool
@@ -58,6 +62,7 @@
     __slots__ = (
         "flow",
         "service",
+        "level",
         "agent",
         "is_confirmed",
         "is_forgotten",
@@ -77,9 +82,10 @@
         "timer",
     )
 
-    def __init__(self, flow: bytes, service: str):
+    def __init__(self, flow: bytes, service: str, level: ServiceLevel):
         self.flow = flow
         self.service = service
+        self.level = level
         self.agent: Address | None = None
         self.is_confirmed = False
         self.is_forgotten = False
@@ -134,10 +140,11 @@
             self.flows.move_to_end(flow)
         return state
 
-    def add(self, flow: bytes, service: str) -> SteeredFlow:
+    def add(self, flow: bytes, route: Route) -> SteeredFlow:
         """Remember a new flow in place of an earlier one of its name."""
         self.drop(flow)
-        state = self.flows[flow] = SteeredFlow(flow, service)
+        state = SteeredFlow(flow, route.choose(flow), route.level)
+        self.flows[flow] = state
         state.seen_at = self.clock.now()
         if len(self.flows) > self.limit:
             self.drop(next(iter(self.flows)))
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -21,12 +21,23 @@
 hear it."""
 
 PARKED_SECONDS = 1.0
-"""Time for which a packet waits until a target that may take it is heard;
-about the time until its caller gives the attempt up."""
+"""Longest time for which a packet waits until a target that may take it is
+heard; about the time until its caller gives the attempt up."""
 
-FRESH_SECONDS = 0.1
-"""Wait after which an answer is hardly in time any more: the shortest aim of
-the users' callers (143 ms) less the work of such a request."""
+FRESH_SHARE = 0.7
+"""Share of a route's aim that an opening packet may wait and still be answered
+promptly; the rest is left for the work of a request, which callers' aims are
+four to five times of, and for the network."""
+
+DEFAULT_AIM_SECONDS = 0.15
+"""Aim of a route that publishes none; the shortest of the users' callers."""
+
+DEFAULT_TIMEOUT_SECONDS = 2.0
+"""Time-out of a route that publishes none; callers there wait for
+PARKED_SECONDS."""
+
+DEFAULT_PRIORITY = 1
+"""Priority of a route that publishes none, in the middle of the users'."""
 
 MAX_PARKED = 2_048
 """Packets that wait so at once; 3 MB with the largest."""
--- a/chicorycart/steering/parked.py
+++ b/chicorycart/steering/parked.py
@@ -5,9 +5,11 @@
 
 from chicorycart.clock import Clock
 from chicorycart.packets.segment import Segment
-from chicorycart.steering.limits import FRESH_SECONDS
+from chicorycart.steering.flows import SteeredFlow
+from chicorycart.steering.limits import FRESH_SHARE
 from chicorycart.steering.limits import MAX_PARKED
 from chicorycart.steering.limits import PARKED_SECONDS
+from chicorycart.steering.routes import ServiceLevel
 
 
 class ParkedPacket:
@@ -21,25 +23,37 @@
         Time from which its flow waits.
     service : str or None
         Service that an opening packet waits for.
+    level : ServiceLevel
+        What the flow's route promises callers.
     until : float
         Time at which it is dropped.
     """
 
-    __slots__ = ("segment", "since", "service", "until")
+    __slots__ = ("segment", "since", "service", "level", "until")
 
-    def __init__(self, segment: Segment, since: float, service: str | None):
+    def __init__(
+        self,
+        segment: Segment,
+        since: float,
+        service: str | None,
+        level: ServiceLevel,
+    ):
         self.segment = segment
         self.since = since
         self.service = service
-        self.until = since + PARKED_SECONDS
+        self.level = level
+        # An answer that is begun later than this comes too late.
+        useful = level.timeout_seconds - level.aim_seconds
+        self.until = since + min(PARKED_SECONDS, max(useful, 0.0))
 
-    def rank(self, now: float) -> tuple[bool, int, float]:
+    def rank(self, now: float) -> tuple[bool, int, int, float]:
         """Return where the packet stands in the order to send them on."""
         waited = now - self.since
         copies = self.segment.copies if self.segment.is_opening else 0
-        if copies == 0 and waited < FRESH_SECONDS:
-            return False, 0, -waited
-        return True, copies, waited
+        priority = self.level.priority
+        if copies == 0 and waited < FRESH_SHARE * self.level.aim_seconds:
+            return False, priority, 0, -waited
+        return True, priority, copies, waited
 
 
 class ParkedPackets:
@@ -61,23 +75,22 @@
     def __len__(self) -> int:
         return len(self.packets)
 
-    def put(
-        self, segment: Segment, since: float, service: str | None = None
-    ) -> None:
-        """Keep a packet in place of an earlier one of its flow.
-
-        Parameters
-        ----------
-        segment : Segment
-            The packet.
-        since : float
-            Time from which its flow waits.
-        service : str, optional
-            Service that an opening packet waits for.
-        """
-        self.drop(segment.flow)
-        self.packets[segment.flow] = ParkedPacket(segment, since, service)
-        self.openings[service] += 1
+    def put_opening(self, segment: Segment, state: SteeredFlow) -> None:
+        """Keep an opening packet in place of an earlier one of its flow."""
+        self.put(
+            ParkedPacket(segment, state.offered_at, state.service, state.level)
+        )
+
+    def put_data(self, segment: Segment, state: SteeredFlow) -> None:
+        """Keep a packet of an open flow in place of an earlier one."""
+        self.put(ParkedPacket(segment, self.clock.now(), None, state.level))
+
+    def put(self, packet: ParkedPacket) -> None:
+        """Keep a packet; the oldest one goes if there are too many."""
+        flow = packet.segment.flow
+        self.drop(flow)
+        self.packets[flow] = packet
+        self.openings[packet.service] += 1
         if len(self.packets) > MAX_PARKED:
             next(iter(self.packets.values())).until = 0.0
 
@@ -98,9 +111,10 @@
     def list_waiting(self) -> list[Segment]:
         """Return the packets that wait, in the order to send them on.
 
-        The first to come goes first as long as it can be answered in time.
-        Those that waited for longer stand behind, the latest first: while
-        not all of them can be served before they give up, some are.
+        Those that can still be answered promptly go first, the most urgent
+        routes before others and each in the order they came. Those that
+        waited for longer stand behind, the latest first: while not all of
+        them can be served before they give up, some are.
         """
         now = self.clock.now()
         waiting = sorted(self.packets.values(), key=lambda p: p.rank(now))
--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -70,8 +70,7 @@
             return
         state = output.flows.find(segment.flow)
         if state is None or state.first_sequence != segment.sequence:
-            service = route.choose(segment.flow)
-            state = output.flows.add(segment.flow, service)
+            state = output.flows.add(segment.flow, route)
             state.first_sequence = segment.sequence
             state.copies = segment.copies
             state.offered_at = self.health.clock.now()
@@ -85,7 +84,7 @@
             return
         state.copies = segment.copies
         if self.parked.is_waiting(state.flow):
-            self.parked.put(segment, state.offered_at, state.service)
+            self.parked.put_opening(segment, state)
             output.count("parked")
             return
         state.stop_timer()
@@ -162,7 +161,7 @@
         self.output.count("parked")
         state.tried.clear()
         state.declined.clear()
-        self.parked.put(segment, state.offered_at, state.service)
+        self.parked.put_opening(segment, state)
 
     def offer(
         self, state: SteeredFlow, segment: Segment, agent: Address, limit: int
--- a/chicorycart/steering/routes.py
+++ b/chicorycart/steering/routes.py
@@ -2,9 +2,41 @@
 
 from xxhash import xxh64_intdigest
 
+from chicorycart.steering.limits import DEFAULT_AIM_SECONDS
+from chicorycart.steering.limits import DEFAULT_PRIORITY
+from chicorycart.steering.limits import DEFAULT_TIMEOUT_SECONDS
+
 HASH_RANGE = 1 << 64
 
 
+class ServiceLevel:
+    """What the operator promises the callers of a route.
+
+    Attributes
+    ----------
+    aim_seconds : float
+        Time in which an answer counts as prompt.
+    timeout_seconds : float
+        Time after which callers give a request up.
+    priority : int
+        Who goes first while not all can be served; 0 is the most urgent.
+    """
+
+    __slots__ = ("aim_seconds", "timeout_seconds", "priority")
+
+    def __init__(
+        self, aim_seconds: float, timeout_seconds: float, priority: int
+    ):
+        self.aim_seconds = aim_seconds
+        self.timeout_seconds = timeout_seconds
+        self.priority = priority
+
+
+DEFAULT_LEVEL = ServiceLevel(
+    DEFAULT_AIM_SECONDS, DEFAULT_TIMEOUT_SECONDS, DEFAULT_PRIORITY
+)
+
+
 class Route:
     """An entry and the services that its new flows go to.
 
@@ -14,13 +46,21 @@
         Address and port, 6 bytes.
     services : tuple of (str, float)
         Names and weights; most routes have one.
+    level : ServiceLevel
+        What callers are promised.
     """
 
-    __slots__ = ("entry", "services")
+    __slots__ = ("entry", "services", "level")
 
-    def __init__(self, entry: bytes, services: tuple[tuple[str, float], ...]):
+    def __init__(
+        self,
+        entry: bytes,
+        services: tuple[tuple[str, float], ...],
+        level: ServiceLevel = DEFAULT_LEVEL,
+    ):
         self.entry = entry
         self.services = services
+        self.level = level
 
     def choose(self, flow: bytes) -> str:
         """Return the service of a flow, by its hash and the weights."""
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -71,7 +71,7 @@
         if route is None:
             output.count("no route")
             return None
-        state = output.flows.add(segment.flow, route.choose(segment.flow))
+        state = output.flows.add(segment.flow, route)
         state.is_open = True
         if not self.advance(state):
             output.flows.drop(segment.flow)
@@ -129,7 +129,7 @@
         """Send a packet of an open flow to its agent."""
         self.output.count("forwarded")
         if not state.is_confirmed and self.health.is_suspended(state.agent):
-            self.parked.put(segment, self.health.clock.now())
+            self.parked.put_data(segment, state)
         self.output.deliver(state, segment.raw)
 
     def take_return(
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -9,6 +9,7 @@
 from chicorycart.steering.balancer import SteeringBalancer
 from chicorycart.steering.published import ListedState
 from chicorycart.steering.published import Listing
+from chicorycart.steering.routes import DEFAULT_LEVEL
 from chicorycart.steering.routes import Route
 from chicorycart.steering.routes import RouteTable
 from chicorycart.steering.settings import Bounds
@@ -82,10 +83,14 @@
         for number in range(1, balancers + 1):
             self.add_balancer(f"b{number}")
 
-    def configure(self, version, services, idle_seconds=None):
-        """Publish which entry leads to which service."""
+    def configure(self, version, services, idle_seconds=None, levels=None):
+        """Publish which entry leads to which service, and its promises."""
         routes = [
-            Route(make_entry(entry), ((service, 1.0),))
+            Route(
+                make_entry(entry),
+                ((service, 1.0),),
+                (levels or {}).get(entry, DEFAULT_LEVEL),
+            )
             for entry, service in services.items()
         ]
         self.store.configure(RouteTable(version, routes, idle_seconds))
--- a/tests/steering/waves.feature
+++ b/tests/steering/waves.feature
@@ -111,3 +111,24 @@
     And host "h1" is 50 times slower than the others
     When 30 callers wait for "h1", it drains and 30 more ask
     Then the 30 callers were refused within 0.65 s
+
+  Scenario: Callers of an urgent route overtake those that wait for another
+    Given a fleet of 2 hosts and 1 balancers
+    And the second entry leads there too and is more urgent
+    When 120 callers ask within 0.05 s and 10 of the second entry after them
+    Then every caller of the second entry had its answer within 0.2 s
+
+  Scenario: Callers keep their turn for as long as the aim of their route
+    Given a fleet of 2 hosts and 1 balancers
+    And routes with an aim of 0.6 s and a time-out of 3 s
+    When 60 callers ask within 0.05 s
+    Then every caller has the answer to its own request
+    And the callers had their answers in the order they came, 16 apart at most
+
+  Scenario: Callers whose answer would come after their time-out are told in time
+    Given a fleet of 2 hosts and 1 balancers
+    And host "h1" is 50 times slower than the others
+    And host "h2" is 50 times slower than the others
+    And routes with an aim of 0.2 s and a time-out of 0.5 s
+    When 40 callers ask within 0.01 s
+    Then every caller has an answer or a reset within 0.35 s of its opening
--- a/tests/steering/waves_steps.py
+++ b/tests/steering/waves_steps.py
@@ -11,9 +11,11 @@
 from logbook import TestHandler
 
 from chicorycart.steering.published import ListedState
+from chicorycart.steering.routes import ServiceLevel
 from tests.standins.ends import ENTRY
 from tests.standins.steered import OTHER_ENTRY
 from tests.standins.steered import OTHER_SERVICE
+from tests.standins.steered import SERVICE
 
 LONG_SECONDS = 2.0
 HASTY_SECONDS = 0.05
@@ -375,3 +377,60 @@
     refused = [c for c in context.later if c.resets]
     assert len(refused) == count, len(refused)
     assert max(caller.open_seconds for caller in refused) <= seconds
+
+
+@given("the second entry leads there too and is more urgent")
+def add_urgent(context):
+    async def configure():
+        plain, urgent = (ServiceLevel(0.15, 2.0, n) for n in (2, 1))
+        services = {ENTRY: SERVICE, OTHER_ENTRY: SERVICE}
+        levels = {ENTRY: plain, OTHER_ENTRY: urgent}
+        context.fleet.configure(2, services, levels=levels)
+        await context.fleet.settle()
+
+    context.run(configure())
+
+
+@given("routes with an aim of {aim:g} s and a time-out of {timeout:g} s")
+def set_level(context, aim, timeout):
+    async def configure():
+        levels = {ENTRY: ServiceLevel(aim, timeout, 1)}
+        context.fleet.configure(2, {ENTRY: SERVICE}, levels=levels)
+        await context.fleet.settle()
+
+    context.run(configure())
+
+
+@when(
+    "{count:d} callers ask within {seconds:g} s and {urgent:d} of the second"
+    " entry after them"
+)
+def ask_urgent(context, count, seconds, urgent):
+    async def run():
+        waiting = create_task(ask_within(context, count, seconds, TRIES))
+        await sleep(seconds)
+        context.later = await ask_within(
+            context, urgent, seconds, TRIES, OTHER_ENTRY
+        )
+        await waiting
+
+    context.run(run())
+
+
+@then("every caller of the second entry had its answer within {seconds:g} s")
+def check_urgent(context, seconds):
+    assert context.later
+    for caller in context.later:
+        assert caller.answers and caller.seconds <= seconds, caller.seconds
+
+
+@then(
+    "the callers had their answers in the order they came, {count:d} apart at"
+    " most"
+)
+def check_order(context, count):
+    # Callers come in the order of their ports and are kept as they end.
+    ports = [caller.address.port for caller in context.callers]
+    places = {port: place for place, port in enumerate(sorted(ports))}
+    late = [place - places[port] for place, port in enumerate(ports)]
+    assert max(map(abs, late)) <= count, late
