Share what receivers, waiting flows, loads and units wrote more than once

The next waiting flow of a service is found without sorting all that wait at each acceptance. Three receiver classes that differed in one call are one; a fresh load is looked up in one place; milliseconds stand in one module.

--- a/chicorycart/flows/messages.py
+++ b/chicorycart/flows/messages.py
@@ -10,11 +10,11 @@
 from chicorycart.flows.buckets import pack_bitmap
 from chicorycart.flows.buckets import unpack_bitmap
 from chicorycart.flows.errors import FlowError
+from chicorycart.units import MILLISECONDS
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("messages.capnp")))
 FLOW_BYTES = 13
 SPARSE_BUCKET_BYTES = 2
-MILLISECONDS = 1000
 
 
 class OwnerRecord:
--- a/chicorycart/platform/items.py
+++ b/chicorycart/platform/items.py
@@ -13,11 +13,11 @@
 from chicorycart.steering.routes import Route
 from chicorycart.steering.routes import RouteTable
 from chicorycart.steering.routes import ServiceLevel
+from chicorycart.units import MILLISECONDS
 
 CONFIG_KEY = "op/config"
 SERVER_PREFIX = "servers/"
 PORT_BYTES = 2
-MILLISECONDS = 1000
 
 
 def decode_server(name: str, value: Any) -> Listing:
--- a/chicorycart/platform/settings.py
+++ b/chicorycart/platform/settings.py
@@ -13,9 +13,9 @@
 from chicorycart.settings.errors import SettingsError
 from chicorycart.steering.settings import Bounds
 from chicorycart.steering.settings import SteeringSettings
+from chicorycart.units import MILLISECONDS
 
 FILE_VARIABLE = "CHICORYCART_NODE_FILE"
-MILLISECONDS = 1000
 READY_PATH = "/ready"
 LINK_PORT = 0
 """Place of the port for messages of the system among the inner ports."""
--- a/chicorycart/requests/message.py
+++ b/chicorycart/requests/message.py
@@ -13,8 +13,7 @@
 from chicorycart.requests.headers import REQUEST_ID
 from chicorycart.requests.headers import REQUEST_ONLY
 from chicorycart.requests.headers import TIMEOUT_MS
-
-MILLISECONDS = 1_000
+from chicorycart.units import MILLISECONDS
 
 
 class Request:
--- a/chicorycart/steering/balancer.py
+++ b/chicorycart/steering/balancer.py
@@ -44,9 +44,7 @@
 from chicorycart.steering.placing import FlowPlacer
 from chicorycart.steering.probes import SuspectProber
 from chicorycart.steering.published import PublishedStore
-from chicorycart.steering.receivers import LoadReceiver
-from chicorycart.steering.receivers import ReportReceiver
-from chicorycart.steering.receivers import ReturnReceiver
+from chicorycart.steering.receivers import MessageReceiver
 from chicorycart.steering.searching import OwnerSearch
 from chicorycart.steering.settings import Bounds
 from chicorycart.steering.settings import SteeringSettings
@@ -102,14 +100,13 @@
         health = HealthTable(clock, events)
         self.flows = FlowMemory(clock)
         self.steerer = self.build_steerer(codec, health, events)
-        self.link.register(
-            MessageKind.FLOW_REPORT, ReportReceiver(self.steerer)
-        )
-        self.link.register(MessageKind.RETURN, ReturnReceiver(self.steerer))
+        for kind, take in (
+            (MessageKind.FLOW_REPORT, self.steerer.take_report),
+            (MessageKind.RETURN, self.steerer.take_return),
+            (MessageKind.PROBE_ANSWER, self.steerer.take_load),
+        ):
+            self.link.register(kind, MessageReceiver(take))
         self.prober = SuspectProber(self.directory, health, self.link)
-        self.link.register(
-            MessageKind.PROBE_ANSWER, LoadReceiver(self.steerer)
-        )
         self.pages = Pages(settings, self.metrics, self)
         self.add_readings(events)
         self.stopping = False
--- a/chicorycart/steering/health.py
+++ b/chicorycart/steering/health.py
@@ -114,13 +114,8 @@
 
     def is_busy(self, agent: Address, slots: int) -> bool:
         """Tell whether a target surely works on as much as it can at once."""
-        health = self.targets.get(agent)
-        return (
-            health is not None
-            and health.load is not None
-            and health.load.in_progress + health.sent >= slots
-            and self.clock.now() - health.load_at < LOAD_SECONDS
-        )
+        work = self.find_fresh_work(agent)
+        return work is not None and work >= slots
 
     def has_room(self, agent: Address, limit: int) -> bool:
         """Tell whether a target may have less work than a limit.
@@ -128,15 +123,22 @@
         One flow at a time is offered to a target whose load was told too
         long ago to know.
         """
+        work = self.find_fresh_work(agent)
+        if work is None:
+            health = self.targets.get(agent)
+            return health is None or health.sent == 0
+        return work < limit
+
+    def find_fresh_work(self, agent: Address) -> int | None:
+        """Return the work of a target if its load was told just now."""
         health = self.targets.get(agent)
-        if health is None:
-            return True
         if (
-            health.load is None
+            health is None
+            or health.load is None
             or self.clock.now() - health.load_at >= LOAD_SECONDS
         ):
-            return health.sent == 0
-        return health.load.in_progress + health.sent < limit
+            return None
+        return health.load.in_progress + health.sent
 
     def estimate(self, agent: Address) -> float:
         """Return the work that a target has and will have.
--- a/chicorycart/steering/history.py
+++ b/chicorycart/steering/history.py
@@ -18,9 +18,9 @@
 from chicorycart.steering.published import Listing
 from chicorycart.steering.published import ListingChange
 from chicorycart.steering.published import PublishedStore
+from chicorycart.units import MILLISECONDS
 
 LOGGER = Logger("store")
-MILLISECONDS = 1000
 STEP_GROWTH = 4
 
 
--- a/chicorycart/steering/parked.py
+++ b/chicorycart/steering/parked.py
@@ -1,4 +1,4 @@
-"""Packets that wait until a target that may take them is heard again."""
+"""Packets that wait until a target is heard again or has room."""
 
 from collections import Counter
 from collections import OrderedDict
@@ -108,6 +108,14 @@
         """Tell whether opening packets wait for a service."""
         return self.openings[service] > 0
 
+    def find_next(self, service: str) -> Segment | None:
+        """Return the opening packet of a service that is to go on next."""
+        if not self.has_openings(service):
+            return None
+        now = self.clock.now()
+        waiting = [p for p in self.packets.values() if p.service == service]
+        return min(waiting, key=lambda p: p.rank(now)).segment
+
     def list_waiting(self) -> list[Segment]:
         """Return the packets that wait, in the order to send them on.
 
--- a/chicorycart/steering/receivers.py
+++ b/chicorycart/steering/receivers.py
@@ -1,61 +1,24 @@
-"""Hand the messages of agents to the steerer of a balancer."""
+"""Hands the messages of agents to what takes them."""
 
-from chicorycart.address import Address
-from chicorycart.steering.steerer import Steerer
-
-
-class ReportReceiver:
-    """Takes word of flows that agents' hosts hold.
-
-    Parameters
-    ----------
-    steerer : Steerer
-        Where the word goes.
-    """
-
-    __slots__ = ("steerer",)
-
-    def __init__(self, steerer: Steerer):
-        self.steerer = steerer
-
-    def receive(self, body: bytes, source: Address) -> None:
-        """Take one report."""
-        self.steerer.take_report(body, source)
+from collections.abc import Callable
 
-
-class ReturnReceiver:
-    """Takes packets that agents give back.
-
-    Parameters
-    ----------
-    steerer : Steerer
-        Where the packets go.
-    """
-
-    __slots__ = ("steerer",)
-
-    def __init__(self, steerer: Steerer):
-        self.steerer = steerer
-
-    def receive(self, body: bytes, source: Address) -> None:
-        """Take one packet."""
-        self.steerer.take_return(body, source)
+from chicorycart.address import Address
 
 
-class LoadReceiver:
-    """Takes word of the load of agents that answer a probe or have room.
+class MessageReceiver:
+    """Takes one kind of message.
 
     Parameters
     ----------
-    steerer : Steerer
-        Where the word goes.
+    take : callable
+        Gets the body and the sender of each.
     """
 
-    __slots__ = ("steerer",)
+    __slots__ = ("take",)
 
-    def __init__(self, steerer: Steerer):
-        self.steerer = steerer
+    def __init__(self, take: Callable[[bytes, Address], None]):
+        self.take = take
 
     def receive(self, body: bytes, source: Address) -> None:
-        """Take one load."""
-        self.steerer.take_load(body, source)
+        """Take one message."""
+        self.take(body, source)
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -34,7 +34,7 @@
     health : HealthTable
         Takes what agents tell of their hosts.
     parked : ParkedPackets
-        Packets that wait for silent targets.
+        Packets that wait for silent or full targets.
     output : SteererOutput
         Sends, counts and logs.
     """
@@ -154,14 +154,14 @@
         member = self.placer.find_room(agent)
         if member is None:
             return
-        for segment in self.parked.list_waiting():
+        segment = self.parked.find_next(member.listing.service)
+        while segment is not None:
+            self.parked.drop(segment.flow)
             state = self.output.flows.find(segment.flow)
-            if state is None or not segment.is_opening or state.is_confirmed:
-                continue
-            if state.service == member.listing.service:
-                self.parked.drop(segment.flow)
+            if state is not None and not state.is_confirmed:
                 self.placer.queue(state, segment, member)
                 return
+            segment = self.parked.find_next(member.listing.service)
 
     def can_go_on(self, state: SteeredFlow, segment: Segment) -> bool:
         """Tell whether a waiting packet has a target that may take it."""
--- /dev/null
+++ b/chicorycart/units.py
@@ -0,0 +1,4 @@
+"""Units that more than one package converts between."""
+
+MILLISECONDS = 1000
+"""Milliseconds in a second."""
