Show that planned stops under load and doubled answers harm no caller

Operators of similar systems lost requests in planned stops and got answers of others. Looked for here: connections to targets are not used again, so a second copy of an answer ends with its connection; a stopping balancer forwards until the fabric is quiet, a stopping agent declines openings and waits for its host. The agent's wait has a name of its own so that tests call it.

--- a/chicorycart/steering/agent.py
+++ b/chicorycart/steering/agent.py
@@ -115,8 +115,7 @@
         """Serve until the event is set."""
         tasks = [*self.start(), create_task(self.serve_pages())]
         await stop.wait()
-        self.relay.is_stopping = True
-        await wait_until(self.is_idle, AGENT_STOP_SECONDS)
+        await self.finish_work()
         for task in tasks:
             task.cancel()
         self.pages.stop()
@@ -129,6 +128,11 @@
         self.link_socket.start(self.link)
         return [create_task(self.sweep())]
 
+    async def finish_work(self) -> None:
+        """Take no more flows and wait for the host's answers."""
+        self.relay.is_stopping = True
+        await wait_until(self.is_idle, AGENT_STOP_SECONDS)
+
     def is_idle(self) -> bool:
         """Tell whether the host works on no request."""
         return self.flows.in_progress == 0
--- a/tests/requests/http.feature
+++ b/tests/requests/http.feature
@@ -63,3 +63,11 @@
       | POST /a HTTP/1.1~Content-Length: 100~~half   | 10       |
       | GET /a HTTP/1.1~Half-a-field                 | 10       |
       | GET /a HTTP/1.1~~                            | 30000000 |
+
+  Scenario: A second copy of an answer reaches no later request
+    Given 1 gateway with 2 slots
+    And the target answers "HTTP/1.1 200 OK~Content-Length: 5~~firstHTTP/1.1 200 OK~Content-Length: 5~~first"
+    When a caller asks "/1" over a connection that it keeps
+    And the target answers "HTTP/1.1 200 OK~Content-Length: 6~~second"
+    And the caller asks "/2" over the kept one
+    Then the caller heard "first, second" and the target ran "/1, /2"
--- a/tests/requests/http_steps.py
+++ b/tests/requests/http_steps.py
@@ -39,6 +39,7 @@
 
 
 @given('the target answers "{answer}"')
+@when('the target answers "{answer}"')
 def set_answer(context, answer):
     context.pool.targets[0].canned = to_wire(answer)
 
@@ -147,3 +148,30 @@
 def check_order(context, paths):
     heads = context.pool.targets[0].heads
     assert [head.split()[1] for head in heads] == paths.split()
+
+
+@when('a caller asks "{path}" over a connection that it keeps')
+def ask_kept(context, path):
+    async def ask():
+        context.kept = await connect(address(context))
+        context.connections.append(context.kept)
+
+    context.run(ask())
+    context.heard = []
+    ask_again(context, path)
+
+
+@when('the caller asks "{path}" over the kept one')
+def ask_again(context, path):
+    async def ask():
+        await context.kept.send(to_wire(f"GET {path} HTTP/1.1~~"))
+        return await context.kept.hear()
+
+    context.heard.append(context.run(ask()).body.decode())
+
+
+@then('the caller heard "{bodies}" and the target ran "{paths}"')
+def check_heard(context, bodies, paths):
+    assert context.heard == bodies.split(", "), context.heard
+    ran = [head.split()[1] for head in context.pool.targets[0].heads]
+    assert ran == paths.split(", "), ran
--- a/tests/standins/ends.py
+++ b/tests/standins/ends.py
@@ -191,6 +191,8 @@
         Resets that came.
     answers : list of bytes
         Answers that came.
+    repeats : int
+        Times that it sent a request once more.
     """
 
     def __init__(self, network, fabric, address, port, entry=ENTRY):
@@ -203,6 +205,7 @@
         self.resets = 0
         self.answers = []
         self.copies = 0
+        self.repeats = 0
         self.changed = Event()
 
     def take(self, data, source):
@@ -249,6 +252,7 @@
                         lambda: len(self.answers) > known or self.resets, wait
                     ):
                         break
+                    self.repeats += 1
         except TimeoutError:
             return None
         return self.answers[-1] if len(self.answers) > known else None
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -1,5 +1,6 @@
 """Balancers and agents that steer flows, among stand-ins in memory."""
 
+from asyncio import create_task
 from asyncio import sleep
 from zlib import crc32
 
@@ -26,6 +27,8 @@
 OUTBOUND_PORT = 8162
 SERVICE = "dispatch"
 DOMAIN = "riga-a"
+FABRIC_NOTICE_SECONDS = 1.0
+START_SECONDS = 0.3
 OTHER_SERVICE = "catalogue"
 OTHER_ENTRY = Address("198.18.0.2", 443)
 BOUNDS = Bounds(3.0, 3.0, 6.0, 60.0)
@@ -165,6 +168,25 @@
         balancer.link_socket.close()
         self.in_rotation.remove(name)
 
+    async def stop_balancer(self, name):
+        """End a balancer as planned; the fabric notices after two misses."""
+        balancer = self.balancers[name]
+        stopping = create_task(balancer.finish_work())
+        await sleep(FABRIC_NOTICE_SECONDS)
+        self.in_rotation.remove(name)
+        await stopping
+        self.in_rotation.append(name)
+        self.kill_balancer(name)
+
+    async def stop_agent(self, name):
+        """End an agent as planned and start another in its place."""
+        agent = self.agents[name]
+        await agent.finish_work()
+        self.kill_agent(name)
+        await sleep(START_SECONDS)
+        host = self.hosts[name].address.host
+        self.start_agent(name, host, agent.settings.service)
+
     def kill_agent(self, name):
         """End an agent without notice."""
         self.stop_tasks(f"{name}-agent")
