Ask four targets at once for an open flow, and see a whole restart sooner

The list of targets was not taken as complete while entries of former hosts stood or had just lapsed.

Change: the targets of a flow are ranked once a search and four are asked at a time; a return from an earlier turn is passed on once. Entries that lapsed since are no evidence against a start of the whole deployment, nor are names that the directory followed to their end; the hosts must have been seen warming up and have started within 5 s.

The scenarios with 48 hosts and with lapsed entries fail without the change.

--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -251,6 +251,10 @@
                 )
         return list(members.values())
 
+    def has_known(self, name: str) -> bool:
+        """Tell whether a target was listed here since the last whole read."""
+        return name in self.members or name in self.removed
+
     def note_departed(self, listing: Listing) -> None:
         """Take note of a host that may live although it is not listed."""
         agent = Address(listing.address.host, self.agent_port)
--- a/chicorycart/steering/flows.py
+++ b/chicorycart/steering/flows.py
@@ -51,6 +51,12 @@
         Targets whose agents declined it because of their load.
     accepted : dict of int to Address
         Agents whose hosts accepted it, by the host's sequence number.
+    owners : list of Address
+        Agents that may hold the open flow, likely ones first.
+    asked : list of Address
+        Those of them that its packets are sent to while the owner is sought.
+    leads : list of Address
+        The first of those that were asked each time.
     missed : list of Address
         Agents whose hosts do not hold the open flow.
     doubted : list of Address
@@ -77,6 +83,9 @@
         "may_queue",
         "declined",
         "accepted",
+        "owners",
+        "asked",
+        "leads",
         "missed",
         "doubted",
         "timer",
@@ -100,10 +109,19 @@
         self.may_queue = False
         self.declined: list[Member] = []
         self.accepted: dict[int, Address] = {}
+        self.owners: list[Address] = []
+        self.asked: list[Address] = []
+        self.leads: list[Address] = []
         self.missed: list[Address] = []
         self.doubted: list[Address] = []
         self.timer: TimerHandle | None = None
 
+    def note_owner(self, agent: Address) -> None:
+        """Send the packets to an agent that reported to hold the flow."""
+        self.agent = agent
+        self.is_confirmed = True
+        self.asked.clear()
+
     def stop_timer(self) -> None:
         """Wait no longer for word of an opening packet."""
         if self.timer is not None:
--- a/chicorycart/steering/history.py
+++ b/chicorycart/steering/history.py
@@ -13,6 +13,7 @@
 from chicorycart.steering.limits import HISTORY_PROOF_SECONDS
 from chicorycart.steering.limits import HISTORY_STEP
 from chicorycart.steering.limits import MIN_STARTED_HOSTS
+from chicorycart.steering.limits import START_SPREAD_SECONDS
 from chicorycart.steering.published import ENTRY_REMOVED
 from chicorycart.steering.published import ListedState
 from chicorycart.steering.published import Listing
@@ -128,18 +129,29 @@
 
 
 def have_all_started(
-    listed: Collection[Listing], absent: Collection[str]
+    changes: Collection[ListingChange],
+    listed: Collection[Listing],
+    absent: Collection[str],
 ) -> bool:
     """Tell whether a deployment has just started again as a whole.
 
-    Every host is still warming up then, and those that vanished are the
-    former ones, whose entries lapse a short time after the new ones came.
+    Every host has been seen warming up then, and they started together.
+    Those that vanished are the former ones, whose entries lapse a short time
+    after the new ones came.
     """
     ready = [
         listing for listing in listed if listing.state is ListedState.READY
     ]
-    return len(ready) >= max(len(absent), MIN_STARTED_HOSTS) and all(
-        listing.cold_seconds > 0 for listing in ready
+    if len(ready) < max(len(absent), MIN_STARTED_HOSTS):
+        return False
+    warming = {listing.name for listing in ready if listing.cold_seconds > 0}
+    for change in changes:
+        if change.listing is not None and change.listing.cold_seconds > 0:
+            warming.add(change.name)
+    starts = [listing.incarnation for listing in ready]
+    spread = max(starts) - min(starts)
+    return spread <= START_SPREAD_SECONDS * MILLISECONDS and all(
+        listing.name in warming for listing in ready
     )
 
 
@@ -235,16 +247,35 @@
 
     def judge(self) -> Absences:
         """Tell the follower if every live target is known."""
-        listed = self.list_known()
-        absences = find_absences(self.changes, listed, self.is_whole)
-        self.follower.is_complete = absences.are_known or have_all_started(
-            listed, absences.unknown
+        absences = self.find_absences(self.changes, self.is_whole)
+        self.follower.is_complete = absences.are_known or self.have_started(
+            self.changes, absences
         )
         return absences
 
+    def find_absences(
+        self, changes: list[ListingChange], is_whole: bool
+    ) -> Absences:
+        """Return which hosts may live although they are not listed."""
+        absences = find_absences(changes, self.list_known(), is_whole)
+        # The directory followed the others to their end.
+        absences.unknown = [
+            name
+            for name in absences.unknown
+            if not self.directory.has_known(name)
+        ]
+        return absences
+
+    def have_started(
+        self, changes: list[ListingChange], absences: Absences
+    ) -> bool:
+        """Tell whether all hosts have started together just now."""
+        return have_all_started(changes, self.list_known(), absences.unknown)
+
     def list_known(self) -> list[Listing]:
-        """Return the entries as they are known now."""
-        return [m.listing for m in self.directory.members.values()]
+        """Return the entries that the store has now, as far as is known."""
+        members = self.directory.members.values()
+        return [m.listing for m in members if m.lapses_at is None]
 
     async def read(self, revision: int) -> tuple[int, list[ListingChange]]:
         """Return the earliest revision found that changes are known since.
@@ -271,9 +302,7 @@
                 known = after
             except HistoryLostError:
                 lost = after
-            listed = self.list_known()
-            absences = find_absences(changes, listed, known == 0)
-            has_started = have_all_started(listed, absences.unknown)
-            if has_started or known - lost <= 1:
+            absences = self.find_absences(changes, known == 0)
+            if self.have_started(changes, absences) or known - lost <= 1:
                 break
         return known, changes
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -1,5 +1,7 @@
 """Every limit and time of the steering slice, with its unit."""
 
+from chicorycart.defaults import CURRENT_CANDIDATES
+
 OPENING_ANSWER_SECONDS = 0.05
 """Wait for word of an opening packet until another target is tried.
 
@@ -60,6 +62,10 @@
 """Waiting packets of a service that are looked at in one turn; ranking the
 targets of each takes some 50 us."""
 
+SEARCH_TARGETS = CURRENT_CANDIDATES
+"""Targets that are asked at once for an open flow; it was most likely placed
+on one of the first candidates."""
+
 SUSPENSION_SECONDS = 0.5
 """First time for which a silent target gets no opening flows; about one
 restart of an agent."""
@@ -118,6 +124,10 @@
 """Hosts that must all be warming up before a deployment is taken to have
 started again as a whole; the start of a single one tells nothing of others."""
 
+START_SPREAD_SECONDS = 5.0
+"""Time within which the hosts of a deployment start that starts again as a
+whole, by their own clocks; a release takes a second for each host."""
+
 HISTORY_STEP = 16
 """Revisions of the first step back in the store's history; about the changes
 that a restart of ten hosts makes."""
--- a/chicorycart/steering/output.py
+++ b/chicorycart/steering/output.py
@@ -73,7 +73,7 @@
     def deliver(
         self, state: SteeredFlow, packet: bytes, limit: int = NO_LIMIT
     ) -> None:
-        """Send a packet to the agent of its flow.
+        """Send a packet to the agent of its flow, or to all that are asked.
 
         Parameters
         ----------
@@ -85,7 +85,8 @@
             Requests in progress at which an opening packet is declined.
         """
         header = encode_delivery_header(hash_name(state.service), limit)
-        self.sender.send(MessageKind.DELIVERY, header + packet, state.agent)
+        for agent in state.asked or [state.agent]:
+            self.sender.send(MessageKind.DELIVERY, header + packet, agent)
 
     def refuse(self, segment: Segment, reason: str) -> None:
         """Tell a caller at once that its flow is not opened or is gone."""
--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -216,8 +216,7 @@
             return
         state.stop_timer()
         self.parked.drop(state.flow)
-        state.agent = agent
-        state.is_confirmed = True
+        state.note_owner(agent)
         seconds = self.health.clock.now() - state.offered_at
         self.answer_times.observe(seconds)
         self.output.record(
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -9,16 +9,17 @@
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.history import HistoryCheck
 from chicorycart.steering.limits import MAX_PARKED
+from chicorycart.steering.limits import SEARCH_TARGETS
 from chicorycart.steering.output import SteererOutput
 from chicorycart.steering.parked import ParkedPackets
 
 
 class OwnerSearch:
-    """Offers the packets of an open flow to one target after the other.
+    """Offers the packets of an open flow to a few targets after the others.
 
-    A host gives back what it does not hold, so the first one that does not
-    is the owner, unless it is silent. The search begins where the flow was
-    most likely placed.
+    A host gives back what it does not hold, so the one that does not is the
+    owner, unless it is silent. The search begins where the flow was most
+    likely placed.
 
     Parameters
     ----------
@@ -80,53 +81,57 @@
         output.record(
             "flow_unknown",
             segment.flow,
-            "service={} agent={}",
+            "service={} agents={}",
             state.service,
-            state.agent,
+            join(state.asked),
         )
         return state
 
     def advance(self, state: SteeredFlow) -> bool:
-        """Go on to the next target that may hold a flow.
+        """Go on to the next targets that may hold a flow.
 
         Returns
         -------
         bool
             False if every target told that it does not hold the flow.
         """
-        left = [
-            agent
-            for agent in self.choice.list_owners(state.service, state.flow)
-            if agent not in state.missed
-        ]
+        left = list_unmissed(state)
+        if not left:
+            # Others may have been listed since the search began.
+            state.owners = self.choice.list_owners(state.service, state.flow)
+            left = list_unmissed(state)
+        state.asked.clear()
         if not left:
             return False
         if all(agent in state.doubted for agent in left):
             state.doubted.clear()
+        left = [agent for agent in left if agent not in state.doubted]
         left.sort(key=self.health.is_suspended)
-        state.agent = next(a for a in left if a not in state.doubted)
+        state.asked = left[:SEARCH_TARGETS]
+        state.agent = state.asked[0]
+        state.leads.append(state.agent)
         state.is_confirmed = False
         return True
 
     def doubt(self, state: SteeredFlow, segment: Segment) -> None:
-        """Go on to the next target if a caller repeats unanswered data."""
+        """Go on to the next targets if a caller repeats unanswered data."""
         if not segment.payload_bytes:
             return
         if segment.sequence == state.last_sequence:
-            before = state.agent
-            state.doubted.append(before)
+            before = state.asked or [state.agent]
+            state.doubted += before
             self.advance(state)
             self.output.record(
                 "flow_doubted",
                 state.flow,
-                "agent={} before={} reason={!r}",
-                state.agent,
-                before,
+                "agents={} before={} reason={!r}",
+                join(state.asked),
+                join(before),
                 "the caller repeats its data",
             )
 
     def pass_on(self, state: SteeredFlow, segment: Segment) -> None:
-        """Send a packet of an open flow to its agent."""
+        """Send a packet of an open flow to its agent, or to all asked."""
         self.output.count("forwarded")
         if not state.is_confirmed and self.health.is_suspended(state.agent):
             self.parked.put_data(segment, state)
@@ -138,20 +143,33 @@
         """Look elsewhere, since an agent's host does not hold the flow."""
         if agent not in state.missed:
             state.missed.append(agent)
-        if state.agent == agent:
+        if agent in state.asked:
+            state.asked.remove(agent)
+            if not state.asked:
+                self.go_on(state, segment, agent)
+        elif agent == state.agent:
             if state.is_confirmed:
                 state.is_forgotten = True
-            if not self.advance(state):
-                self.give_up(state, segment)
-                return
-            self.output.record(
-                "flow_moved",
-                state.flow,
-                "agent={} before={} missed={}",
-                state.agent,
-                agent,
-                len(state.missed),
-            )
+            self.go_on(state, segment, agent)
+        elif agent in state.leads[:-1]:
+            # Sent before the present targets were asked; one copy will do.
+            self.pass_on(state, segment)
+
+    def go_on(
+        self, state: SteeredFlow, segment: Segment, before: Address
+    ) -> None:
+        """Ask the next targets, or give the flow up if none is left."""
+        if not self.advance(state):
+            self.give_up(state, segment)
+            return
+        self.output.record(
+            "flow_moved",
+            state.flow,
+            "agents={} before={} missed={}",
+            join(state.asked),
+            before,
+            len(state.missed),
+        )
         self.pass_on(state, segment)
 
     def give_up(self, state: SteeredFlow, segment: Segment) -> None:
@@ -194,3 +212,13 @@
                 self.pass_on(state, segment)
             else:
                 self.give_up(state, segment)
+
+
+def list_unmissed(state: SteeredFlow) -> list[Address]:
+    """Return the agents that may still hold a flow."""
+    return [agent for agent in state.owners if agent not in state.missed]
+
+
+def join(agents: list[Address]) -> str:
+    """Return agents as a log line names them."""
+    return ",".join(map(str, agents))
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -99,8 +99,7 @@
                 source,
                 len(state.missed),
             )
-        state.agent = source
-        state.is_confirmed = True
+        state.note_owner(source)
 
     def take_load(self, body: bytes, source: Address) -> None:
         """Take word of the load of an agent that may take a flow."""
--- a/tests/steering/flows.feature
+++ b/tests/steering/flows.feature
@@ -60,6 +60,13 @@
     When every host forgets its flows
     Then every open flow is reset within 0.5 s of its next request
 
+  Scenario: A flow that none of many hosts holds is told so soon
+    Given a fleet of 48 hosts and 2 balancers
+    And 20 open flows
+    When every host forgets its flows
+    And balancer "b1" is killed
+    Then every open flow is reset within 0.15 s of its next request
+
   Scenario: No flow is reset while its host may be the silent one
     Given a fleet of 4 hosts and 1 balancers
     And 12 open flows
--- a/tests/steering/history.feature
+++ b/tests/steering/history.feature
@@ -42,6 +42,14 @@
     And the entries of 2 former hosts lapse
     Then every open flow is reset within 0.3 s of its next request
 
+  Scenario: Callers are told once the entries of hosts that never came back have lapsed
+    Given a fleet of 7 hosts and 2 balancers
+    And 20 open flows
+    And the store discarded its history
+    When power is lost everywhere and 2 of the hosts are not listed anew
+    And the entries of 7 former hosts lapse
+    Then every open flow is reset within 0.8 s of its next request
+
   Scenario: No flow is reset on the word of a few hosts that have just started
     Given a fleet of 3 hosts and 1 balancers
     And 12 open flows
--- a/tests/steering/history_steps.py
+++ b/tests/steering/history_steps.py
@@ -40,7 +40,18 @@
     "power is lost by every balancer and host and {hosts} of new names start"
 )
 def lose_power(context, hosts):
-    cold_seconds = COLD_SECONDS if hosts == "cold hosts" else 0.0
+    restart_all(context, COLD_SECONDS if hosts == "cold hosts" else 0.0)
+
+
+@when(
+    "power is lost everywhere and {count:d} of the hosts are not listed anew"
+)
+def lose_power_unlisted(context, count):
+    restart_all(context, COLD_SECONDS, count)
+
+
+def restart_all(context, cold_seconds, unlisted=0):
+    """Start every balancer, agent and host anew; list all but some."""
 
     async def lose():
         fleet = context.fleet
@@ -57,7 +68,8 @@
                 f"{name}-agent"
             )
             fleet.restart_agent(host.name)
-            fleet.list_host(host.name, born=40_000, cold=cold_seconds)
+            if len(fleet.store.entries) < 2 * len(fleet.hosts) - unlisted:
+                fleet.list_host(host.name, born=40_000, cold=cold_seconds)
         for name in names:
             fleet.add_balancer(f"b{10 + int(name[1:])}")
         await sleep(0.1)
