Date the store's history by hosts that warm up, not by new entries

Cause, found while the rule was written down as a model: an entry that comes back after it lapsed is as new as that of a host that starts. With a history that was discarded during an outage, two old hosts that came back could prove the list complete while a third was not listed again yet, and its flows would have been reset. Change: only an entry that tells that its host warms up dates the history. The row 'only returns of old ones' was open to that.

--- a/chicorycart/platform/store.py
+++ b/chicorycart/platform/store.py
@@ -158,9 +158,7 @@
         listing = decode_server(name, read_value(item))
     except StoreError as error:
         return ListingChange(name, revision, None, str(error))
-    return ListingChange(
-        name, revision, listing, is_new=item.get("createRev") == revision
-    )
+    return ListingChange(name, revision, listing)
 
 
 def read_value(item: dict[str, Any]) -> Any:
--- a/chicorycart/steering/history.py
+++ b/chicorycart/steering/history.py
@@ -112,14 +112,15 @@
 ) -> bool:
     """Tell whether changes go back beyond the time for lapsed hosts to return.
 
-    The store does not date its changes. But a host is listed first at its
-    start, and it told when that was; the latest start is in the past.
+    The store does not date its changes. But an entry that tells that its
+    host warms up was written soon after the start that it tells as well, and
+    the latest start is in the past.
     """
     starts = [
         change.listing.incarnation
         for change in changes
         if change.listing is not None
-        and change.is_new
+        and change.listing.cold_seconds > 0
         and change.listing.incarnation
     ]
     if not starts:
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -117,8 +117,8 @@
 
 HISTORY_PROOF_SECONDS = RELISTING_SECONDS + 5.0
 """Time between the starts of two hosts from which on the store's history
-surely goes back beyond RELISTING_SECONDS; clocks that hosts tell their start
-by may jump by some seconds."""
+surely goes back beyond RELISTING_SECONDS; hosts warm up for some seconds, and
+the clocks that they tell their start by may jump as far."""
 
 MIN_STARTED_HOSTS = 2
 """Hosts that must all be warming up before a deployment is taken to have
--- a/chicorycart/steering/published.py
+++ b/chicorycart/steering/published.py
@@ -85,11 +85,9 @@
         None if the entry was removed or cannot be read.
     reason : str
         Why there is none; ENTRY_REMOVED if it was removed.
-    is_new : bool
-        Whether there was no entry of this name just before.
     """
 
-    __slots__ = ("name", "revision", "listing", "reason", "is_new")
+    __slots__ = ("name", "revision", "listing", "reason")
 
     def __init__(
         self,
@@ -97,13 +95,11 @@
         revision: int,
         listing: Listing | None,
         reason: str = "",
-        is_new: bool = False,
     ):
         self.name = name
         self.revision = revision
         self.listing = listing
         self.reason = reason
-        self.is_new = is_new
 
 
 class Changes:
--- a/tests/platform_adapter/store.feature
+++ b/tests/platform_adapter/store.feature
@@ -56,9 +56,9 @@
     And the client reads everything
     Then 3 hosts are there and the fault names the route's field
 
-  Scenario: The client reads what happened to entries, and which are new
+  Scenario: The client reads what happened to entries
     Given a stand-in of the store with 3 hosts and a configuration
     When a host drains, another is removed and the client recalls the changes
-    Then it has the first entry as new, the drain as a change and the removal
+    Then it has the first entry, the drain and the removal
     When the history is discarded and the client recalls the changes
     Then the history is lost
--- a/tests/platform_adapter/store_steps.py
+++ b/tests/platform_adapter/store_steps.py
@@ -219,12 +219,11 @@
     context.recalled = {c.name: c for c in recall(context)}
 
 
-@then("it has the first entry as new, the drain as a change and the removal")
+@then("it has the first entry, the drain and the removal")
 def check_recalled(context):
     changes = context.recalled
     assert sorted(changes) == ["i-1", "i-2", "i-3"]
-    assert changes["i-1"].is_new
-    assert not changes["i-2"].is_new
+    assert changes["i-1"].listing.state is ListedState.READY
     assert changes["i-2"].listing.state is ListedState.DRAINING
     assert changes["i-3"].listing is None
     assert changes["i-3"].reason == ENTRY_REMOVED
--- a/tests/standins/kv.py
+++ b/tests/standins/kv.py
@@ -68,13 +68,11 @@
     def put(self, key, value):
         """Write an item."""
         self.revision += 1
-        known = self.items.get(key, {})
-        is_there = known and not known.get("tombstone")
         self.items[key] = {
             "key": key,
             "value": value,
             "revision": self.revision,
-            "createRev": known["createRev"] if is_there else self.revision,
+            "createRev": self.revision,
             "lease": 0,
         }
         self.changed.set()
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -44,10 +44,7 @@
     def put(self, listing):
         """Write the entry of a host."""
         self.revision += 1
-        is_new = listing.name not in self.entries
-        change = ListingChange(
-            listing.name, self.revision, listing, is_new=is_new
-        )
+        change = ListingChange(listing.name, self.revision, listing)
         self.entries[listing.name] = change
         self.note(change)
 
--- a/tests/steering/history.feature
+++ b/tests/steering/history.feature
@@ -68,6 +68,7 @@
     Then the store was asked for its history at most 8 times
 
   Scenario Outline: Whom the changes name as absent: <case>
+    # "+" starts, "=" is listed warm, "~" drains, "-" is removed, "?" unreadable
     Given entries of "a" at address 1 born at 1 s and of "b" at address 2 born at <b> s
     And changes <changes>
     When the history is judged with "<listed>" listed
@@ -78,10 +79,11 @@
       | case                            | b  | changes                  | listed | absent | unknown | complete |
       | nothing ever vanished           | 20 | +a +b                    | a b    |        |         | complete |
       | one lapsed                      | 20 | +a +b -a                 | b      | a      |         | complete |
-      | one lapsed and came back        | 20 | +a +b -a +a              | a b    |        |         | complete |
+      | one lapsed and came back        | 20 | +a +b -a =a              | a b    |        |         | complete |
       | one drained and left            | 20 | +a +b ~a -a              | b      |        |         | complete |
       | one lapsed before that was kept | 20 | +b -c                    | a b    |        | c       | open     |
       | only a drain is kept            | 20 | ~a                       | a b    |        |         | open     |
+      | only returns of old ones        | 20 | =a =b                    | a b    |        |         | open     |
       | only one start is kept          | 20 | +b                       | a b    |        |         | open     |
       | the starts lie close together   | 5  | +a +b                    | a b    |        |         | open     |
       | an unreadable entry came        | 20 | +a +b ?c -c              | a b    |        |         | complete |
--- a/tests/steering/history_steps.py
+++ b/tests/steering/history_steps.py
@@ -18,7 +18,11 @@
 
 OLDEST = 2
 YOUNGEST = 30
-SIGNS = {"+": ListedState.READY, "~": ListedState.DRAINING}
+SIGNS = {
+    "+": ListedState.READY,
+    "=": ListedState.READY,
+    "~": ListedState.DRAINING,
+}
 REASONS = {"-": ENTRY_REMOVED, "?": "not JSON"}
 
 
@@ -127,11 +131,15 @@
     assert 0 < recalls <= count, recalls
 
 
-def make_listing(name, number, born_seconds, state=ListedState.READY):
+def make_listing(
+    name, number, born_seconds, state=ListedState.READY, cold_seconds=0.0
+):
     """Return the entry of a host."""
     address = Address(f"10.2.0.{number}", HOST_PORT)
     born = born_seconds * 1000
-    return Listing(name, SERVICE, address, DOMAIN, 2, state, born, 0.0)
+    return Listing(
+        name, SERVICE, address, DOMAIN, 2, state, born, cold_seconds
+    )
 
 
 @given(
@@ -151,17 +159,16 @@
 @given("changes {words}")
 def make_changes(context, words):
     context.changes = []
-    seen = set()
     for revision, word in enumerate(words.split(), 1):
-        name = word[1]
-        state = SIGNS.get(word[0])
+        sign, name = word[0], word[1]
         listing = None
-        if state is not None:
-            listing = make_listing(name, *context.places[name], state)
-        is_new = word[0] == "+" and name not in seen
-        seen.add(name)
-        reason = REASONS.get(word[0], "")
-        change = ListingChange(name, revision, listing, reason, is_new)
+        if sign in SIGNS:
+            cold_seconds = COLD_SECONDS if sign == "+" else 0.0
+            listing = make_listing(
+                name, *context.places[name], SIGNS[sign], cold_seconds
+            )
+        reason = REASONS.get(sign, "")
+        change = ListingChange(name, revision, listing, reason)
         context.changes.append(change)
 
 
