Take a deployment as started again only where hosts took addresses over

Cause, found while the rule was written down as a model: after an outage in which every entry lapsed, hosts that had just started could be the first ones listed. They all warm up and started together, so the list counted as complete, and flows of live hosts that were back within 2 s would have been reset. Change: former entries must have stood at the addresses of the new hosts, at least as many as vanished hosts are unknown. After a loss of power they stand for two or three heartbeats. The scenario 'No flow is reset when new hosts are the first after an outage' resets all 12 flows without it.

--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -35,15 +35,18 @@
         Revision of that entry.
     lapses_at : float or None
         Time at which a target that vanished is gone; None if it is listed.
+    took_over : bool
+        Whether the entry of a former host at its address was seen.
     """
 
-    __slots__ = ("target", "listing", "revision", "lapses_at")
+    __slots__ = ("target", "listing", "revision", "lapses_at", "took_over")
 
     def __init__(self, target: Target, listing: Listing, revision: int):
         self.target = target
         self.listing = listing
         self.revision = revision
         self.lapses_at: float | None = None
+        self.took_over = False
 
     @property
     def takes_new_work(self) -> bool:
@@ -149,6 +152,7 @@
         other = self.by_agent.get(listing.address.host)
         if other is not None and other.listing.name != listing.name:
             if is_older(listing, revision, other):
+                other.took_over = True
                 self.note_removed(listing.name, revision)
                 return
             self.release_address(other, listing.name)
@@ -165,6 +169,10 @@
             STATES[listing.state],
         )
         member = Member(target, listing, revision)
+        if known is not None:
+            member.took_over = known.took_over
+        else:
+            member.took_over = other is not None
         self.members[listing.name] = member
         self.services.setdefault(listing.service, {})[listing.name] = member
         self.by_agent[agent.host] = member
@@ -251,6 +259,10 @@
                 )
         return list(members.values())
 
+    def list_present(self) -> list[Member]:
+        """Return the targets of all services that the store lists."""
+        return [m for m in self.members.values() if m.lapses_at is None]
+
     def has_known(self, name: str) -> bool:
         """Tell whether a target was listed here since the last whole read."""
         return name in self.members or name in self.removed
--- a/chicorycart/steering/history.py
+++ b/chicorycart/steering/history.py
@@ -132,18 +132,30 @@
 def have_all_started(
     changes: Collection[ListingChange],
     listed: Collection[Listing],
+    taken_over: int,
     absent: Collection[str],
 ) -> bool:
     """Tell whether a deployment has just started again as a whole.
 
-    Every host has been seen warming up then, and they started together.
-    Those that vanished are the former ones, whose entries lapse a short time
-    after the new ones came.
+    Every host has been seen warming up then, they started together, and
+    former entries still stood at their addresses. Those that vanished before
+    are former hosts too, if they are the fewer.
+
+    Parameters
+    ----------
+    changes : collection of ListingChange
+        What is known of the history.
+    listed : collection of Listing
+        The entries now.
+    taken_over : int
+        Hosts among them that took over the address of a former one.
+    absent : collection of str
+        Names of those that vanished and of which nothing else is known.
     """
     ready = [
         listing for listing in listed if listing.state is ListedState.READY
     ]
-    if len(ready) < max(len(absent), MIN_STARTED_HOSTS):
+    if taken_over < max(len(absent), MIN_STARTED_HOSTS):
         return False
     warming = {listing.name for listing in ready if listing.cold_seconds > 0}
     for change in changes:
@@ -271,12 +283,14 @@
         self, changes: list[ListingChange], absences: Absences
     ) -> bool:
         """Tell whether all hosts have started together just now."""
-        return have_all_started(changes, self.list_known(), absences.unknown)
+        taken_over = sum(m.took_over for m in self.directory.list_present())
+        return have_all_started(
+            changes, self.list_known(), taken_over, absences.unknown
+        )
 
     def list_known(self) -> list[Listing]:
         """Return the entries that the store has now, as far as is known."""
-        members = self.directory.members.values()
-        return [m.listing for m in members if m.lapses_at is None]
+        return [member.listing for member in self.directory.list_present()]
 
     async def read(self, revision: int) -> tuple[int, list[ListingChange]]:
         """Return the earliest revision found that changes are known since.
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -121,8 +121,8 @@
 the clocks that they tell their start by may jump as far."""
 
 MIN_STARTED_HOSTS = 2
-"""Hosts that must all be warming up before a deployment is taken to have
-started again as a whole; the start of a single one tells nothing of others."""
+"""Hosts that took over the address of a former one from which on a deployment
+may have started again as a whole; a single one tells nothing of others."""
 
 START_SPREAD_SECONDS = 5.0
 """Time within which the hosts of a deployment start that starts again as a
--- a/tests/steering/history.feature
+++ b/tests/steering/history.feature
@@ -60,6 +60,15 @@
     Then no caller was reset
     And every open flow gets an answer from its host
 
+  Scenario: No flow is reset when new hosts are the first after an outage
+    Given a fleet of 3 hosts and 1 balancers
+    And 12 open flows
+    And the store discarded its history
+    When 3 cold hosts join, every entry lapses and balancer "b2" starts in place of "b1"
+    And every open flow asks while the entries come back within 2 s
+    Then no caller was reset
+    And every open flow gets an answer from its host
+
   Scenario: The history is read once after each return of the store
     Given a fleet of 3 hosts and 1 balancers
     And 12 open flows
--- a/tests/steering/history_steps.py
+++ b/tests/steering/history_steps.py
@@ -1,5 +1,6 @@
 """Steps on what the store's history tells of unlisted targets."""
 
+from asyncio import create_task
 from asyncio import sleep
 
 from behave import given
@@ -92,6 +93,35 @@
     context.run(lapse())
 
 
+@when(
+    '{count:d} cold hosts join, every entry lapses and balancer "{new}" starts'
+    ' in place of "{old}"'
+)
+def join_after_outage(context, count, new, old):
+    async def join():
+        fleet = context.fleet
+        former = list(fleet.hosts)
+        for number in range(count):
+            name = f"h{60 + number}"
+            fleet.add_host(name, SERVICE)
+            fleet.list_host(name, born=40_000, cold=COLD_SECONDS)
+        for name in former:
+            fleet.store.remove(name)
+        fleet.kill_balancer(old)
+        fleet.add_balancer(new)
+        await sleep(0.1)
+        # The first one is back at the end, when the others are.
+        create_task(relist(fleet))
+
+    context.run(join())
+
+
+async def relist(fleet):
+    """Let the first host come back last."""
+    await sleep(1.9)
+    fleet.list_host("h1")
+
+
 @when('host "{name}" is cold')
 def make_cold(context, name):
     context.fleet.list_host(name, cold=COLD_SECONDS)
