Survive a list of draining hosts, and bound what a search remembers

A list on which every host drains made the judgement of a whole restart take the earliest of no starts: ValueError, and the task that serves waiting flows ended. A caller that repeats its data on a flow whose owner is silent made the flow's list of leads grow by one a packet (200 of 200). A store at revision 0 was asked for revision -1. Two scenarios fail without the mends.

--- a/chicorycart/steering/history.py
+++ b/chicorycart/steering/history.py
@@ -155,7 +155,7 @@
     ready = [
         listing for listing in listed if listing.state is ListedState.READY
     ]
-    if taken_over < max(len(absent), MIN_STARTED_HOSTS):
+    if not ready or taken_over < max(len(absent), MIN_STARTED_HOSTS):
         return False
     warming = {listing.name for listing in ready if listing.cold_seconds > 0}
     for change in changes:
@@ -307,6 +307,8 @@
         changes: list[ListingChange] = []
         step = HISTORY_STEP
         for _ in range(HISTORY_CALLS):
+            if known - lost <= 1:
+                break
             after = max(known - step, (known + lost) // 2)
             step *= STEP_GROWTH
             self.follower.calls += 1
@@ -318,6 +320,6 @@
             except HistoryLostError:
                 lost = after
             absences = self.find_absences(changes, known == 0)
-            if self.have_started(changes, absences) or known - lost <= 1:
+            if self.have_started(changes, absences):
                 break
         return known, changes
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -83,7 +83,7 @@
             segment.flow,
             "service={} agents={}",
             state.service,
-            join(state.asked),
+            join_agents(state.asked),
         )
         return state
 
@@ -109,6 +109,8 @@
         left.sort(key=self.health.is_suspended)
         state.asked = left[:SEARCH_TARGETS]
         state.agent = state.asked[0]
+        if state.agent in state.leads:
+            state.leads.remove(state.agent)
         state.leads.append(state.agent)
         state.is_confirmed = False
         return True
@@ -125,8 +127,8 @@
                 "flow_doubted",
                 state.flow,
                 "agents={} before={} reason={!r}",
-                join(state.asked),
-                join(before),
+                join_agents(state.asked),
+                join_agents(before),
                 "the caller repeats its data",
             )
 
@@ -166,7 +168,7 @@
             "flow_moved",
             state.flow,
             "agents={} before={} missed={}",
-            join(state.asked),
+            join_agents(state.asked),
             before,
             len(state.missed),
         )
@@ -219,6 +221,6 @@
     return [agent for agent in state.owners if agent not in state.missed]
 
 
-def join(agents: list[Address]) -> str:
+def join_agents(agents: list[Address]) -> str:
     """Return agents as a log line names them."""
     return ",".join(map(str, agents))
--- a/tests/steering/history.feature
+++ b/tests/steering/history.feature
@@ -69,6 +69,21 @@
     Then no caller was reset
     And every open flow gets an answer from its host
 
+  Scenario: A list of draining hosts alone proves nothing and stops nothing
+    Given a fleet of 3 hosts and 1 balancers
+    And 12 open flows
+    And the store discarded its history
+    When power is lost by every balancer and host and cold hosts of new names start
+    And every host drains
+    Then every open flow is reset within 3 s of its next request
+
+  Scenario: Callers that repeat their data for long make a flow's memory no larger
+    Given a fleet of 6 hosts and 1 balancers
+    And 1 open flows
+    When every host is silent and balancer "b1" is replaced
+    And the caller of the flow repeats its data 200 times
+    Then no list of agents that a balancer keeps for a flow is longer than 6
+
   Scenario: The history is read once after each return of the store
     Given a fleet of 3 hosts and 1 balancers
     And 12 open flows
--- a/tests/steering/history_steps.py
+++ b/tests/steering/history_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 
 from chicorycart.address import Address
+from chicorycart.platform.segments import ACK
 from chicorycart.steering.history import find_absences
 from chicorycart.steering.published import ENTRY_REMOVED
 from chicorycart.steering.published import ListedState
@@ -127,6 +128,43 @@
     context.fleet.list_host(name, cold=COLD_SECONDS)
 
 
+@when("every host drains")
+def drain_all(context):
+    async def drain():
+        fleet = context.fleet
+        for name in fleet.hosts:
+            state = ListedState.DRAINING
+            fleet.list_host(name, state=state, born=40_000, cold=COLD_SECONDS)
+        await fleet.settle()
+
+    context.run(drain())
+
+
+@when("the caller of the flow repeats its data {count:d} times")
+def repeat_data(context, count):
+    async def repeat():
+        ((caller, _),) = context.flows
+        for _ in range(count):
+            caller.send(ACK, b"again")
+            await sleep(0.02)
+
+    context.run(repeat())
+
+
+@then("no list of agents that a balancer keeps for a flow is longer than 6")
+def check_lists(context):
+    flows = [
+        state
+        for balancer in context.fleet.balancers.values()
+        for state in balancer.flows.flows.values()
+    ]
+    assert flows
+    for state in flows:
+        kept = (state.owners, state.asked, state.leads, state.missed)
+        sizes = [len(agents) for agents in (*kept, state.doubted)]
+        assert max(sizes) <= 6, sizes
+
+
 @when("the store answers in {seconds:g} s")
 def slow_store(context, seconds):
     context.fleet.store.answer_seconds = seconds
