--- a/chicorycart/steering/history.py
+++ b/chicorycart/steering/history.py
@@ -23,6 +23,7 @@
 
 LOGGER = Logger("store")
 STEP_GROWTH = 4
+"""Times by which each step back in the history is longer than the last."""
 
 
 class Absences:
