Account for each vanished host before a whole restart counts

Two faults of the rule came out with its new test: when all hosts but one lose power, the vanished one of the host that lives could hide among the former ones, and the reading of the history stopped at the first 16 revisions that seemed to prove a restart, before the entry that lapsed.

Change: vanished hosts may be no more than the new ones that took over no known address; the history is read to where it ends; the directory remembers whom it saw superseded in a whole read.

--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -129,12 +129,12 @@
 
     def replace(self, changes: list[ListingChange], revision: int) -> None:
         """Take all entries of the store; those that are missing vanished."""
+        self.removed.clear()
         present = {change.name for change in changes}
         for change in changes:
             self.apply(change)
         for name in [n for n in self.members if n not in present]:
             self.remove(name, revision, "missing from the store")
-        self.removed.clear()
 
     def apply(self, change: ListingChange) -> None:
         """Take one changed entry, unless a later one is known."""
@@ -264,7 +264,7 @@
         return [m for m in self.members.values() if m.lapses_at is None]
 
     def has_known(self, name: str) -> bool:
-        """Tell whether a target was listed here since the last whole read."""
+        """Tell whether a target was known at the last whole read or since."""
         return name in self.members or name in self.removed
 
     def note_departed(self, listing: Listing) -> None:
--- a/chicorycart/steering/history.py
+++ b/chicorycart/steering/history.py
@@ -139,8 +139,8 @@
     """Tell whether a deployment has just started again as a whole.
 
     Every host has been seen warming up then, they started together, and
-    former entries still stood at their addresses. Those that vanished before
-    are former hosts too, if they are the fewer.
+    former entries still stood at the addresses of some. Those that vanished
+    before are the former hosts of the others, if there are not more of them.
 
     Parameters
     ----------
@@ -149,14 +149,16 @@
     listed : collection of Listing
         The entries now.
     taken_over : int
-        Hosts among them that took over the address of a former one.
+        Ready hosts among them that took over the address of a former one.
     absent : collection of str
         Names of those that vanished and of which nothing else is known.
     """
     ready = [
         listing for listing in listed if listing.state is ListedState.READY
     ]
-    if not ready or taken_over < max(len(absent), MIN_STARTED_HOSTS):
+    if taken_over < MIN_STARTED_HOSTS:
+        return False
+    if len(absent) > len(ready) - taken_over:
         return False
     warming = {listing.name for listing in ready if listing.cold_seconds > 0}
     for change in changes:
@@ -261,43 +263,27 @@
 
     def judge(self) -> Absences:
         """Tell the follower if every live target is known."""
-        absences = self.find_absences(self.changes, self.is_whole)
-        self.follower.is_complete = absences.are_known or self.have_started(
-            self.changes, absences
-        )
-        return absences
-
-    def find_absences(
-        self, changes: list[ListingChange], is_whole: bool
-    ) -> Absences:
-        """Return which hosts may live although they are not listed."""
-        absences = find_absences(changes, self.list_known(), is_whole)
+        present = self.directory.list_present()
+        listed = [member.listing for member in present]
+        absences = find_absences(self.changes, listed, self.is_whole)
         # The directory followed the others to their end.
         absences.unknown = [
             name
             for name in absences.unknown
             if not self.directory.has_known(name)
         ]
-        return absences
-
-    def have_started(
-        self, changes: list[ListingChange], absences: Absences
-    ) -> bool:
-        """Tell whether all hosts have started together just now."""
-        taken_over = sum(m.took_over for m in self.directory.list_present())
-        return have_all_started(
-            changes, self.list_known(), taken_over, absences.unknown
+        taken_over = sum(m.took_over and m.takes_new_work for m in present)
+        self.follower.is_complete = absences.are_known or have_all_started(
+            self.changes, listed, taken_over, absences.unknown
         )
-
-    def list_known(self) -> list[Listing]:
-        """Return the entries that the store has now, as far as is known."""
-        return [member.listing for member in self.directory.list_present()]
+        return absences
 
     async def read(self, revision: int) -> tuple[int, list[ListingChange]]:
         """Return the earliest revision found that changes are known since.
 
-        The steps back begin small: most of what matters has just happened,
-        and nothing before a start of the whole deployment does.
+        The steps back begin small, since most of what matters has just
+        happened, and go on to where the store knows no more: a host that
+        vanished before is missed otherwise.
 
         Raises
         ------
@@ -320,7 +306,4 @@
                 known = after
             except HistoryLostError:
                 lost = after
-            absences = self.find_absences(changes, known == 0)
-            if self.have_started(changes, absences):
-                break
         return known, changes
--- a/tests/steering/history.feature
+++ b/tests/steering/history.feature
@@ -60,6 +60,20 @@
     Then no caller was reset
     And every open flow gets an answer from its host
 
+  Scenario: Callers are told although most former entries had lapsed before the first read
+    Given a fleet of 7 hosts and 2 balancers
+    And 20 open flows
+    And the store discarded its history
+    When power is lost everywhere and the entries of 5 hosts lapse before others start
+    Then every open flow is reset within 0.3 s of its next request
+
+  Scenario: No flow of the one host that kept its power is reset while it is not listed
+    Given a fleet of 5 hosts and 1 balancers
+    And 20 open flows
+    And the store discarded its history
+    When power is lost everywhere but at "h1", which is listed again after 1.5 s
+    Then every open flow of "h1" gets an answer and none is reset
+
   Scenario: No flow is reset when new hosts are the first after an outage
     Given a fleet of 3 hosts and 1 balancers
     And 12 open flows
--- a/tests/steering/history_steps.py
+++ b/tests/steering/history_steps.py
@@ -1,6 +1,7 @@
 """Steps on what the store's history tells of unlisted targets."""
 
 from asyncio import create_task
+from asyncio import gather
 from asyncio import sleep
 
 from behave import given
@@ -56,8 +57,57 @@
     restart_all(context, COLD_SECONDS, count)
 
 
+@when(
+    "power is lost everywhere and the entries of {count:d} hosts lapse before"
+    " others start"
+)
+def lose_power_for_long(context, count):
+    for name in list(context.fleet.hosts)[:count]:
+        context.fleet.store.remove(name)
+    restart_all(context, COLD_SECONDS)
+
+
+@when(
+    'power is lost everywhere but at "{name}", which is listed again after'
+    " {seconds:g} s"
+)
+def spare(context, name, seconds):
+    fleet = context.fleet
+    fleet.store.remove(name)
+    host = fleet.hosts.pop(name)
+    agent = fleet.agents.pop(name)
+    restart_all(context, COLD_SECONDS)
+    fleet.hosts[name] = host
+    fleet.agents[name] = agent
+
+    async def return_later():
+        await sleep(seconds)
+        fleet.list_host(name)
+
+    async def ask():
+        back = create_task(return_later())
+        callers = [c for c, held_by in context.flows if held_by == name]
+        context.answers = await gather(*(c.ask(b"spared") for c in callers))
+        context.resets = [caller.resets for caller in callers]
+        await back
+
+    context.run(ask())
+
+
+@then('every open flow of "{name}" gets an answer and none is reset')
+def check_spared(context, name):
+    expected = name.encode() + b":spared"
+    assert context.answers
+    assert all(answer == expected for answer in context.answers), (
+        context.answers,
+        context.resets,
+    )
+    assert not any(context.resets), context.resets
+
+
 def restart_all(context, cold_seconds, unlisted=0):
     """Start every balancer, agent and host anew; list all but some."""
+    former = len(context.fleet.store.entries)
 
     async def lose():
         fleet = context.fleet
@@ -74,7 +124,8 @@
                 f"{name}-agent"
             )
             fleet.restart_agent(host.name)
-            if len(fleet.store.entries) < 2 * len(fleet.hosts) - unlisted:
+            listed = len(fleet.store.entries) - former
+            if listed < len(fleet.hosts) - unlisted:
                 fleet.list_host(host.name, born=40_000, cold=cold_seconds)
         for name in names:
             fleet.add_balancer(f"b{10 + int(name[1:])}")
