Search for a flow whose opening packet waits here but was placed elsewhere

The fault is as old as the waiting at balancers. Change: such a flow is searched like an unknown one and its opening packet waits no longer. The scenario raised TypeError before.

--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -72,6 +72,7 @@
         if route is None:
             output.count("no route")
             return None
+        self.parked.drop(segment.flow)
         state = output.flows.add(segment.flow, route)
         state.is_open = True
         if not self.advance(state):
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -68,7 +68,9 @@
             self.placer.open(segment)
             return
         state = self.output.flows.find(segment.flow)
-        if state is None:
+        if state is None or state.agent is None:
+            # Not known, or its opening packet waits here and a copy of it
+            # was placed by another balancer.
             state = self.search.begin(segment)
             if state is None:
                 return
--- a/tests/steering/flows.feature
+++ b/tests/steering/flows.feature
@@ -60,6 +60,13 @@
     When every host forgets its flows
     Then every open flow is reset within 0.5 s of its next request
 
+  Scenario: A flow that waited at one balancer and was placed by another goes on at the first
+    Given a fleet of 3 hosts and 2 balancers
+    And 12 open flows
+    When the opening packets of the flows wait at every balancer once more
+    Then every open flow gets an answer from its host
+    And no caller was reset
+
   Scenario: A flow that none of many hosts holds is told so soon
     Given a fleet of 48 hosts and 2 balancers
     And 20 open flows
--- a/tests/steering/flows_steps.py
+++ b/tests/steering/flows_steps.py
@@ -443,3 +443,14 @@
 @when("the callers do nothing for {seconds:g} s")
 def do_nothing(context, seconds):
     context.run(sleep(seconds))
+
+
+@when("the opening packets of the flows wait at every balancer once more")
+def wait_again(context):
+    async def wait():
+        for balancer in context.fleet.balancers.values():
+            (route, *_) = balancer.follower.routes.current.by_entry.values()
+            for flow in list(balancer.flows.flows):
+                balancer.flows.add(flow, route)
+
+    context.run(wait())
