Name a list of agents and the queue limit of a target in one place

Read over the whole change: the same join of agents stood three times, the same product of slots and queue twice.

--- a/chicorycart/steering/output.py
+++ b/chicorycart/steering/output.py
@@ -1,5 +1,6 @@
 """What a balancer sends: packets to agents and resets to callers."""
 
+from chicorycart.address import Address
 from chicorycart.configuration.model import hash_name
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Sender
@@ -118,3 +119,8 @@
     def count(self, outcome: str) -> None:
         """Count what became of a packet."""
         self.packets.labels(outcome).inc()
+
+
+def join_agents(agents: list[Address]) -> str:
+    """Return agents as a log line names them."""
+    return ",".join(map(str, agents))
--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -15,6 +15,7 @@
 from chicorycart.steering.limits import QUEUE_PER_SLOT
 from chicorycart.steering.messages import FlowReport
 from chicorycart.steering.messages import ReturnReason
+from chicorycart.steering.output import join_agents
 from chicorycart.steering.output import SteererOutput
 from chicorycart.steering.parked import ParkedPackets
 
@@ -140,7 +141,7 @@
         self, state: SteeredFlow, segment: Segment, member: Member
     ) -> None:
         """Offer an opening packet to a busy target, or let it wait here."""
-        limit = QUEUE_PER_SLOT * member.target.slots
+        limit = find_queue_limit(member)
         if self.health.has_room(member.target.agent, limit):
             state.may_queue = True
             self.offer(state, segment, member.target.agent, limit)
@@ -154,7 +155,7 @@
             state.flow,
             "service={} tried={} busy={} waiting={}",
             state.service,
-            ",".join(map(str, state.tried)),
+            join_agents(state.tried),
             state.may_queue or bool(state.declined),
             len(self.parked),
         )
@@ -225,7 +226,7 @@
             "service={} agent={} tried={} seconds={:.4f} load={}/{:.1f}/{}",
             state.service,
             agent,
-            ",".join(map(str, state.tried)),
+            join_agents(state.tried),
             seconds,
             report.load.in_progress,
             report.load.mean_in_progress,
@@ -297,12 +298,17 @@
 
     def can_queue(self, member: Member) -> bool:
         """Tell whether a flow may be offered to a target, behind others."""
-        limit = QUEUE_PER_SLOT * member.target.slots
+        limit = find_queue_limit(member)
         return self.choice.may_take(member) and self.health.has_room(
             member.target.agent, limit
         )
 
 
+def find_queue_limit(member: Member) -> int:
+    """Return the requests at a target up to which it gets opening flows."""
+    return QUEUE_PER_SLOT * member.target.slots
+
+
 def is_chosen(state: SteeredFlow, sequence: int) -> bool:
     """Tell whether a caller took the acceptance with a sequence number."""
     if state.acknowledged is None:
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -10,6 +10,7 @@
 from chicorycart.steering.history import HistoryCheck
 from chicorycart.steering.limits import MAX_PARKED
 from chicorycart.steering.limits import SEARCH_TARGETS
+from chicorycart.steering.output import join_agents
 from chicorycart.steering.output import SteererOutput
 from chicorycart.steering.parked import ParkedPackets
 
@@ -220,8 +221,3 @@
 def list_unmissed(state: SteeredFlow) -> list[Address]:
     """Return the agents that may still hold a flow."""
     return [agent for agent in state.owners if agent not in state.missed]
-
-
-def join_agents(agents: list[Address]) -> str:
-    """Return agents as a log line names them."""
-    return ",".join(map(str, agents))
