Log which agents left a repeated packet unanswered

It named the list of candidates, which the next selection cleared before the line was written. The line gets a copy.

--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -135,7 +135,7 @@
         if not segment.payload_bytes:
             return
         if segment.sequence == state.last_sequence:
-            before = state.candidates or [state.agent]
+            before = list(state.candidates) or [state.agent]
             state.unresponsive += before
             self.advance(state)
             self.output.record(
