Test: A search during which targets are removed from the list

Callers wait for repetitions of their data when entries of draining hosts are removed while the owner of their flow is searched for. The ranking of the search still has these targets, but what they return is dropped as foreign, so the search stands still in each group with one of them.

Hosts that joined after the flows were opened spread the owners over the ranking. 24 of 48 hosts are removed 6 ms after the requests.

--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -33,3 +33,14 @@
       | case            | ends              |
       | flows forgotten | forgets its flows |
       | balancer is new | is replaced       |
+
+  # A search ended at targets that were removed after it had ranked them.
+  Scenario: A search goes on past targets that are removed from the list meanwhile
+    Given a fleet of 12 hosts and 1 balancers
+    And 24 open flows
+    And 36 hosts that joined later
+    When 10 hosts with flows and 24 hosts without flows drain
+    And balancer "b1" is replaced
+    And the entries of the hosts without flows are removed 0.006 s after the next requests
+    Then every open flow gets an answer from its host within 0.5 s
+    And no caller was reset
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -1,5 +1,6 @@
 """Steps on open flows whose hosts a balancer has to find."""
 
+from asyncio import create_task
 from asyncio import sleep
 
 from behave import given
@@ -8,6 +9,7 @@
 
 from chicorycart.steering.published import ListedState
 from tests.standins.deliveries import DeliveryLog
+from tests.standins.steered import SERVICE
 from tests.steering.flows_steps import ask_open_flows
 
 
@@ -36,6 +38,15 @@
         context.fleet.network.dark.add(context.fleet.hosts[name].address.host)
 
 
+@given("{count:d} hosts that joined later")
+def join_hosts(context, count):
+    async def join():
+        for number in range(1, count + 1):
+            context.fleet.add_host(f"h{100 + number}", SERVICE)
+
+    context.run(join())
+
+
 @when('balancer "{name}" is replaced')
 def replace_balancer(context, name):
     async def replace():
@@ -83,3 +94,26 @@
             context.fleet.store.remove(name)
 
     context.run(drain())
+
+
+@when("{count:d} hosts with flows and {others:d} hosts without flows drain")
+def drain_both(context, count, others):
+    context.drained = list_hosts(context, count, with_flows=True)
+    context.removed = list_hosts(context, others, with_flows=False)
+    list_draining(context.fleet, context.drained + context.removed)
+
+
+@when(
+    "the entries of the hosts without flows are removed {seconds:g} s after"
+    " the next requests"
+)
+def remove_later(context, seconds):
+    async def remove():
+        await sleep(seconds)
+        for name in context.removed:
+            context.fleet.store.remove(name)
+
+    async def start():
+        context.removal = create_task(remove())
+
+    context.run(start())
