Test: Flows of drained hosts that have ended

Callers of a host that drained and ended wait for their own timeout: a balancer that has the state of a flow sends its packets on to the host that is gone, and never doubts it. Such flows are to be reset within 2.5 s of the end, and at once (0.3 s) if their callers ask later.

--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -5,6 +5,7 @@
 from asyncio import sleep
 from asyncio import timeout
 from collections import deque
+from contextlib import suppress
 from socket import inet_aton
 from socket import inet_ntoa
 
@@ -259,6 +260,34 @@
             return None
         return self.answers[-1] if len(self.answers) > known else None
 
+    async def upload(self, bodies, seconds):
+        """Send requests at once; return whether each got its answer.
+
+        Those without an answer are repeated in turn.
+        """
+        packets = []
+        for body in bodies:
+            self.sequence += len(body)
+            packets.append((self.sequence, body))
+        with suppress(TimeoutError):
+            async with timeout(seconds):
+                for wait in (*RESEND_SECONDS, *RESEND_SECONDS):
+                    for self.sequence, body in packets:
+                        if not self.has_answer(body):
+                            self.send(ACK, body)
+                    if await self.wait(
+                        lambda: (
+                            all(map(self.has_answer, bodies)) or self.resets
+                        ),
+                        wait,
+                    ):
+                        break
+        return all(map(self.has_answer, bodies))
+
+    def has_answer(self, body):
+        """Tell whether the answer to a request came."""
+        return any(answer.endswith(b":" + body) for answer in self.answers)
+
     def send(self, flags, body=b""):
         """Send one packet of the open flow."""
         head = make_head(
--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -44,3 +44,23 @@
     And the entries of the hosts without flows are removed 0.006 s after the next requests
     Then every open flow gets an answer from its host within 0.5 s
     And no caller was reset
+
+  # A flow of a host that has ended was never reset if the balancer knew it.
+  Scenario: Flows of a drained host that has ended are reset: the balancer has their state
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And these hosts end 1.9 s later
+    Then half of their flows are reset within 2.5 s of the end
+    And the other half is reset within 0.3 s of its next request
+    And every flow of the other hosts gets an answer and none is reset
+
+  Scenario: Flows of a drained host that has ended are reset: the balancer is new
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And balancer "b1" is replaced
+    And these hosts end 0.9 s later
+    Then half of their flows are reset within 2.5 s of the end
+    And the other half is reset within 0.3 s of its next request
+    And every flow of the other hosts gets an answer and none is reset
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -1,6 +1,7 @@
 """Steps on open flows whose hosts a balancer has to find."""
 
 from asyncio import create_task
+from asyncio import gather
 from asyncio import sleep
 
 from behave import given
@@ -117,3 +118,73 @@
         context.removal = create_task(remove())
 
     context.run(start())
+
+
+@when("these hosts end {seconds:g} s later")
+def end_hosts(context, seconds):
+    async def end():
+        await sleep(seconds)
+        for name in context.drained:
+            address = context.fleet.hosts[name].address
+            context.fleet.network.dark.add(address.host)
+
+    context.run(end())
+
+
+def list_flows_of_drained(context):
+    """Return the callers of the flows of the drained hosts."""
+    callers = [c for c, name in context.flows if name in context.drained]
+    assert len(callers) > 1
+    return callers
+
+
+async def ask_until_reset(callers, seconds):
+    """Send a request on some flows; return the resets of each after a time."""
+    asked = (caller.ask(b"late", seconds) for caller in callers)
+    await gather(*asked, sleep(seconds))
+    return [caller.resets for caller in callers]
+
+
+@then("half of their flows are reset within {seconds:g} s of the end")
+def check_half(context, seconds):
+    callers = list_flows_of_drained(context)[::2]
+    resets = context.run(ask_until_reset(callers, seconds))
+    assert all(resets), resets
+
+
+@then("the other half is reset within {seconds:g} s of its next request")
+def check_other_half(context, seconds):
+    callers = list_flows_of_drained(context)[1::2]
+    resets = context.run(ask_until_reset(callers, seconds))
+    assert all(resets), resets
+
+
+@then("every flow of the other hosts gets an answer and none is reset")
+def check_others(context):
+    ended = set(list_flows_of_drained(context))
+    callers = [caller for caller, _ in context.flows if caller not in ended]
+    results = context.run(upload_all(callers, 1))
+    assert callers
+    assert all(results), results
+    resets = [caller.resets for caller in callers]
+    assert not any(resets), resets
+
+
+async def upload_all(callers, count, seconds=3.0):
+    """Send some requests at once on each flow; return which got all answers.
+
+    The answers come from the host that holds the flow, since no other host
+    takes its packets.
+    """
+    return await gather(
+        *(
+            caller.upload(
+                [
+                    b"part-%d-%d-%d" % (count, part, caller.sequence)
+                    for part in range(count)
+                ],
+                seconds,
+            )
+            for caller in callers
+        )
+    )
