Test: The number of deliveries that a search costs

A search for the flow of a draining host costs more packets the more targets there are: draining targets are asked after all others, although the flow was placed on one of the first candidates. The bound of 16 deliveries is four groups of four targets.

Packets of one flow that arrive at once are to share its search: no more than twice the deliveries for two, four times for four. It guards the search against more packets in flight.

--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -64,3 +64,24 @@
     Then half of their flows are reset within 2.5 s of the end
     And the other half is reset within 0.3 s of its next request
     And every flow of the other hosts gets an answer and none is reset
+
+  # Draining targets were asked after all others.
+  Scenario: The flow of a draining host is found by asking a part of the targets
+    Given a fleet of 48 hosts and 1 balancers
+    And 40 open flows
+    When 12 hosts with flows drain
+    And balancer "b1" is replaced
+    Then the next request on each flow of these hosts is delivered at most 16 times on average
+
+  Scenario Outline: Packets of one flow that arrive at once share one search: <count> packets
+    Given a fleet of 48 hosts and 1 balancers
+    And 40 open flows
+    And messages of agents to balancers that take 1 to 3 ms
+    When 12 hosts with flows drain
+    And balancer "b1" is replaced
+    Then <count> requests at once cause at most <count> times the deliveries of one
+
+    Examples: Packets that arrive at once
+      | count |
+      | 2     |
+      | 4     |
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -48,6 +48,15 @@
     context.run(join())
 
 
+@given("messages of agents to balancers that take 1 to 3 ms")
+def vary_delays(context):
+    network = context.fleet.network
+    for number, agent in enumerate(context.fleet.agents.values()):
+        for balancer in context.fleet.balancers.values():
+            pair = (agent.settings.link, balancer.settings.link)
+            network.delays[pair] = 0.001 * (1 + number % 3)
+
+
 @when('balancer "{name}" is replaced')
 def replace_balancer(context, name):
     async def replace():
@@ -170,6 +179,47 @@
     assert not any(resets), resets
 
 
+@when("{count:d} hosts with flows drain")
+def drain_some(context, count):
+    context.drained = list_hosts(context, count, with_flows=True)
+    list_draining(context.fleet, context.drained)
+
+
+@then(
+    "the next request on each flow of these hosts is delivered at most"
+    " {count:d} times on average"
+)
+def check_deliveries(context, count):
+    callers = list_flows_of_drained(context)
+    deliveries = count_deliveries(context, callers, 1)
+    mean = sum(deliveries) / len(deliveries)
+    assert mean <= count, (mean, deliveries)
+
+
+@then(
+    "{count:d} requests at once cause at most {times:d} times the deliveries"
+    " of one"
+)
+def check_shared_search(context, count, times):
+    callers = list_flows_of_drained(context)
+    single = count_deliveries(context, callers, 1)
+    for balancer in context.fleet.balancers.values():
+        balancer.flows.flows.clear()
+    several = count_deliveries(context, callers, count)
+    for one, many in zip(single, several, strict=True):
+        assert many <= times * one, (single, several)
+
+
+def count_deliveries(context, callers, count):
+    """Send requests at once on some flows; return the deliveries of each."""
+    network = context.fleet.network
+    log = DeliveryLog(network)
+    results = context.run(upload_all(callers, count))
+    network.faults.remove(log.lose)
+    assert all(results), results
+    return [len(log.agents[caller.address]) for caller in callers]
+
+
 async def upload_all(callers, count, seconds=3.0):
     """Send some requests at once on each flow; return which got all answers.
 
