Test: A caller that took the acceptance of an unlisted host

Two balancers offer the opening packet of a flow to different hosts, and its caller takes the acceptance of the host that the first balancer does not list yet, since the store is down. The host that this one knows returns the flow, which counts as the loss of its owner, so the caller is reset although its host holds the flow.

--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -85,3 +85,14 @@
       | count |
       | 2     |
       | 4     |
+
+  # A flow was reset if the host to which its balancer offered it returned it.
+  Scenario: No flow is reset whose caller took the acceptance of a host that is not listed yet
+    Another balancer, which had read the list of targets before the store went
+    down, offered the repeated opening packet to that host.
+
+    Given a fleet of 1 hosts and 1 balancers
+    And a caller whose flow "h1" and the unlisted "h2" accept during a store outage
+    When the caller asks for 2 s with the sequence number of "h2"
+    Then no caller was reset
+    And "h2" answers the caller within 3 s of the store's return
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -8,8 +8,15 @@
 from behave import then
 from behave import when
 
+from chicorycart.address import Address
+from chicorycart.configuration.model import hash_name
+from chicorycart.links.datagrams import MessageKind
+from chicorycart.platform.segments import SYN
+from chicorycart.steering.messages import encode_delivery_header
 from chicorycart.steering.published import ListedState
 from tests.standins.deliveries import DeliveryLog
+from tests.standins.endpoints import make_head
+from tests.standins.steered import LINK_PORT
 from tests.standins.steered import SERVICE
 from tests.steering.flows_steps import ask_open_flows
 
@@ -238,3 +245,53 @@
             for caller in callers
         )
     )
+
+
+@given(
+    'a caller whose flow "{first}" and the unlisted "{second}" accept during a'
+    " store outage"
+)
+def open_unlisted(context, first, second):
+    async def open_twice():
+        fleet = context.fleet
+        await fleet.settle()
+        fleet.store.is_down = True
+        await fleet.settle(3.0)
+        fleet.add_host(second, SERVICE)
+        context.caller = caller = fleet.make_caller()
+        opening = create_task(caller.open())
+        other = fleet.network.open(Address("10.1.0.99", LINK_PORT))
+        packet = make_head(
+            caller.address,
+            caller.entry,
+            SYN,
+            sequence=caller.sequence,
+            ack=1,
+        )
+        header = encode_delivery_header(hash_name(SERVICE), 0)
+        other.send(
+            bytes((MessageKind.DELIVERY,)) + header + packet,
+            fleet.agents[second].settings.link,
+        )
+        assert await opening
+        await sleep(0.1)
+
+    context.run(open_twice())
+    assert all(len(context.fleet.hosts[n].flows) == 1 for n in (first, second))
+
+
+@when('the caller asks for {seconds:g} s with the sequence number of "{name}"')
+def ask_as_accepted_by(context, seconds, name):
+    caller = context.caller
+    (caller.host_sequence,) = context.fleet.hosts[name].flows.values()
+    assert context.run(caller.ask(b"early", seconds)) is None
+
+
+@then(
+    '"{name}" answers the caller within {seconds:g} s of the store\'s return'
+)
+def check_answer_after_outage(context, name, seconds):
+    context.fleet.store.is_down = False
+    context.run(context.caller.upload([b"later"], seconds))
+    answers = context.caller.answers
+    assert name.encode() + b":later" in answers, answers
