Test: Repetitions while several packets are in flight

Uploads stall if a dark host is asked before the owner of their flow: a repetition is recognised only by the sequence number of the last packet, and two packets that are repeated in turn are never recognised, so the search does not go on.

--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -96,3 +96,12 @@
     When the caller asks for 2 s with the sequence number of "h2"
     Then no caller was reset
     And "h2" answers the caller within 3 s of the store's return
+
+  # A repetition counted as new data if another packet was sent since.
+  Scenario: An upload reaches its host although hosts that may hold its flow are dark
+    Given a fleet of 12 hosts and 1 balancers
+    And 24 open flows
+    And 8 hosts that joined later and are dark
+    When balancer "b1" is replaced
+    Then 2 requests at once on every open flow are answered within 2 s
+    And no caller was reset
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -55,6 +55,14 @@
     context.run(join())
 
 
+@given("{count:d} hosts that joined later and are dark")
+def join_dark(context, count):
+    join_hosts(context, count)
+    for name in list_hosts(context, count, with_flows=False):
+        address = context.fleet.hosts[name].address
+        context.fleet.network.dark.add(address.host)
+
+
 @given("messages of agents to balancers that take 1 to 3 ms")
 def vary_delays(context):
     network = context.fleet.network
@@ -295,3 +303,13 @@
     context.run(context.caller.upload([b"later"], seconds))
     answers = context.caller.answers
     assert name.encode() + b":later" in answers, answers
+
+
+@then(
+    "{count:d} requests at once on every open flow are answered within"
+    " {seconds:g} s"
+)
+def check_uploads(context, count, seconds):
+    callers = [caller for caller, _ in context.flows]
+    results = context.run(upload_all(callers, count, seconds))
+    assert all(results), (results.count(False), len(results))
