--- /dev/null
+++ b/tests/steering/search.feature
@@ -0,0 +1,107 @@
+@virtual
+Feature: Open flows are found soon, at few agents, as long as their hosts live
+
+  Guards against open flows that do not reach their own host or are reset
+  although it lives, after a balancer lost its state of them.
+
+  # A target that left one packet unanswered was asked again after all others.
+  Scenario Outline: A flow is found within 2 s though its first packets to its host are lost: <case>
+    Given a fleet of 48 hosts and 1 balancers
+    And 24 open flows
+    And 12 hosts without flows drain and go dark
+    When balancer "b1" <ends>
+    And the first <count> packets of each flow to its host are lost
+    Then every open flow gets an answer from its host within 2 s
+    And no caller was reset
+
+    Examples: Packets that are lost after the balancer lost its state
+      | case                    | count | ends              |
+      | one, new balancer       | 1     | is replaced       |
+      | two, new balancer       | 2     | is replaced       |
+      | one, balancer forgot it | 1     | forgets its flows |
+
+  # A draining target was forgotten at the removal of its entry.
+  Scenario Outline: A flow of a drained host is kept while the host serves on unlisted: <case>
+    Given a fleet of 7 hosts and 1 balancers
+    And 20 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And balancer "b1" <ends>
+    Then every open flow gets an answer from its host
+    And no caller was reset
+
+    Examples: What befalls the balancer after the removal
+      | case            | ends              |
+      | flows forgotten | forgets its flows |
+      | balancer is new | is replaced       |
+
+  # A search ended at targets that were removed after it had ranked them.
+  Scenario: A search goes on past targets that are removed from the list meanwhile
+    Given a fleet of 12 hosts and 1 balancers
+    And 24 open flows
+    And 36 hosts that joined later
+    When 10 hosts with flows and 24 hosts without flows drain
+    And balancer "b1" is replaced
+    And the entries of the hosts without flows are removed 0.006 s after the next requests
+    Then every open flow gets an answer from its host within 0.5 s
+    And no caller was reset
+
+  # A flow of a host that has ended was never reset if the balancer knew it.
+  Scenario: Flows of a drained host that has ended are reset: the balancer has their state
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And these hosts end 1.9 s later
+    Then half of their flows are reset within 2.5 s of the end
+    And the other half is reset within 0.3 s of its next request
+    And every flow of the other hosts gets an answer and none is reset
+
+  Scenario: Flows of a drained host that has ended are reset: the balancer is new
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And balancer "b1" is replaced
+    And these hosts end 0.9 s later
+    Then half of their flows are reset within 2.5 s of the end
+    And the other half is reset within 0.3 s of its next request
+    And every flow of the other hosts gets an answer and none is reset
+
+  # Draining targets were asked after all others.
+  Scenario: The flow of a draining host is found by asking a part of the targets
+    Given a fleet of 48 hosts and 1 balancers
+    And 40 open flows
+    When 12 hosts with flows drain
+    And balancer "b1" is replaced
+    Then the next request on each flow of these hosts is delivered at most 16 times on average
+
+  Scenario Outline: Packets of one flow that arrive at once share one search: <count> packets
+    Given a fleet of 48 hosts and 1 balancers
+    And 40 open flows
+    And messages of agents to balancers that take 1 to 3 ms
+    When 12 hosts with flows drain
+    And balancer "b1" is replaced
+    Then <count> requests at once cause at most <count> times the deliveries of one
+
+    Examples: Packets that arrive at once
+      | count |
+      | 2     |
+      | 4     |
+
+  # A flow was reset if the host to which its balancer offered it returned it.
+  Scenario: No flow is reset whose caller took the acceptance of a host that is not listed yet
+    Another balancer, which had read the list of targets before the store went
+    down, offered the repeated opening packet to that host.
+
+    Given a fleet of 1 hosts and 1 balancers
+    And a caller whose flow "h1" and the unlisted "h2" accept during a store outage
+    When the caller asks for 2 s with the sequence number of "h2"
+    Then no caller was reset
+    And "h2" answers the caller within 3 s of the store's return
+
+  # A repetition counted as new data if another packet was sent since.
+  Scenario: An upload reaches its host although hosts that may hold its flow are dark
+    Given a fleet of 12 hosts and 1 balancers
+    And 24 open flows
+    And 8 hosts that joined later and are dark
+    When balancer "b1" is replaced
+    Then 2 requests at once on every open flow are answered within 2 s
+    And no caller was reset
--- /dev/null
+++ b/tests/steering/search_steps.py
@@ -0,0 +1,315 @@
+"""Steps on open flows whose hosts a balancer has to find."""
+
+from asyncio import create_task
+from asyncio import gather
+from asyncio import sleep
+
+from behave import given
+from behave import then
+from behave import when
+
+from chicorycart.address import Address
+from chicorycart.configuration.model import hash_name
+from chicorycart.links.datagrams import MessageKind
+from chicorycart.platform.segments import SYN
+from chicorycart.steering.messages import encode_delivery_header
+from chicorycart.steering.published import ListedState
+from tests.standins.deliveries import DeliveryLog
+from tests.standins.endpoints import make_head
+from tests.standins.steered import LINK_PORT
+from tests.standins.steered import SERVICE
+from tests.steering.flows_steps import ask_open_flows
+
+
+def list_hosts(context, count, with_flows):
+    """Return the names of some hosts that have flows, or have none."""
+    names = [
+        name
+        for name, host in context.fleet.hosts.items()
+        if bool(host.flows) == with_flows
+    ]
+    assert len(names) >= count, names
+    return names[:count]
+
+
+def list_draining(fleet, names):
+    """List hosts as draining."""
+    for name in names:
+        fleet.list_host(name, state=ListedState.DRAINING)
+
+
+@given("{count:d} hosts without flows drain and go dark")
+def darken(context, count):
+    names = list_hosts(context, count, with_flows=False)
+    list_draining(context.fleet, names)
+    for name in names:
+        context.fleet.network.dark.add(context.fleet.hosts[name].address.host)
+
+
+@given("{count:d} hosts that joined later")
+def join_hosts(context, count):
+    async def join():
+        for number in range(1, count + 1):
+            context.fleet.add_host(f"h{100 + number}", SERVICE)
+
+    context.run(join())
+
+
+@given("{count:d} hosts that joined later and are dark")
+def join_dark(context, count):
+    join_hosts(context, count)
+    for name in list_hosts(context, count, with_flows=False):
+        address = context.fleet.hosts[name].address
+        context.fleet.network.dark.add(address.host)
+
+
+@given("messages of agents to balancers that take 1 to 3 ms")
+def vary_delays(context):
+    network = context.fleet.network
+    for number, agent in enumerate(context.fleet.agents.values()):
+        for balancer in context.fleet.balancers.values():
+            pair = (agent.settings.link, balancer.settings.link)
+            network.delays[pair] = 0.001 * (1 + number % 3)
+
+
+@when('balancer "{name}" is replaced')
+def replace_balancer(context, name):
+    async def replace():
+        context.fleet.kill_balancer(name)
+        context.fleet.add_balancer(name)
+        await context.fleet.settle()
+
+    context.run(replace())
+
+
+@when('balancer "{name}" forgets its flows')
+def forget_flows(context, name):
+    async def forget():
+        await context.fleet.settle()
+        context.fleet.balancers[name].flows.flows.clear()
+
+    context.run(forget())
+
+
+@when("the first {count:d} packets of each flow to its host are lost")
+def lose_first(context, count):
+    log = DeliveryLog(context.fleet.network)
+    for caller, name in context.flows:
+        log.lose_first(caller, context.fleet.hosts[name], count)
+
+
+@then("every open flow gets an answer from its host within {seconds:g} s")
+def check_soon(context, seconds):
+    assert context.flows
+    results = context.run(ask_open_flows(context, seconds))
+    assert all(results), (results.count(False), len(results))
+
+
+@when(
+    "{count:d} hosts with flows drain and their entries are removed after"
+    " {seconds:g} s"
+)
+def drain_and_remove(context, count, seconds):
+    context.drained = list_hosts(context, count, with_flows=True)
+
+    async def drain():
+        list_draining(context.fleet, context.drained)
+        await sleep(seconds)
+        for name in context.drained:
+            context.fleet.store.remove(name)
+
+    context.run(drain())
+
+
+@when("{count:d} hosts with flows and {others:d} hosts without flows drain")
+def drain_both(context, count, others):
+    context.drained = list_hosts(context, count, with_flows=True)
+    context.removed = list_hosts(context, others, with_flows=False)
+    list_draining(context.fleet, context.drained + context.removed)
+
+
+@when(
+    "the entries of the hosts without flows are removed {seconds:g} s after"
+    " the next requests"
+)
+def remove_later(context, seconds):
+    async def remove():
+        await sleep(seconds)
+        for name in context.removed:
+            context.fleet.store.remove(name)
+
+    async def start():
+        context.removal = create_task(remove())
+
+    context.run(start())
+
+
+@when("these hosts end {seconds:g} s later")
+def end_hosts(context, seconds):
+    async def end():
+        await sleep(seconds)
+        for name in context.drained:
+            address = context.fleet.hosts[name].address
+            context.fleet.network.dark.add(address.host)
+
+    context.run(end())
+
+
+def list_flows_of_drained(context):
+    """Return the callers of the flows of the drained hosts."""
+    callers = [c for c, name in context.flows if name in context.drained]
+    assert len(callers) > 1
+    return callers
+
+
+async def ask_until_reset(callers, seconds):
+    """Send a request on some flows; return the resets of each after a time."""
+    asked = (caller.ask(b"late", seconds) for caller in callers)
+    await gather(*asked, sleep(seconds))
+    return [caller.resets for caller in callers]
+
+
+@then("half of their flows are reset within {seconds:g} s of the end")
+def check_half(context, seconds):
+    callers = list_flows_of_drained(context)[::2]
+    resets = context.run(ask_until_reset(callers, seconds))
+    assert all(resets), resets
+
+
+@then("the other half is reset within {seconds:g} s of its next request")
+def check_other_half(context, seconds):
+    callers = list_flows_of_drained(context)[1::2]
+    resets = context.run(ask_until_reset(callers, seconds))
+    assert all(resets), resets
+
+
+@then("every flow of the other hosts gets an answer and none is reset")
+def check_others(context):
+    ended = set(list_flows_of_drained(context))
+    callers = [caller for caller, _ in context.flows if caller not in ended]
+    results = context.run(upload_all(callers, 1))
+    assert callers
+    assert all(results), results
+    resets = [caller.resets for caller in callers]
+    assert not any(resets), resets
+
+
+@when("{count:d} hosts with flows drain")
+def drain_some(context, count):
+    context.drained = list_hosts(context, count, with_flows=True)
+    list_draining(context.fleet, context.drained)
+
+
+@then(
+    "the next request on each flow of these hosts is delivered at most"
+    " {count:d} times on average"
+)
+def check_deliveries(context, count):
+    callers = list_flows_of_drained(context)
+    deliveries = count_deliveries(context, callers, 1)
+    mean = sum(deliveries) / len(deliveries)
+    assert mean <= count, (mean, deliveries)
+
+
+@then(
+    "{count:d} requests at once cause at most {times:d} times the deliveries"
+    " of one"
+)
+def check_shared_search(context, count, times):
+    callers = list_flows_of_drained(context)
+    single = count_deliveries(context, callers, 1)
+    for balancer in context.fleet.balancers.values():
+        balancer.flows.flows.clear()
+    several = count_deliveries(context, callers, count)
+    for one, many in zip(single, several, strict=True):
+        assert many <= times * one, (single, several)
+
+
+def count_deliveries(context, callers, count):
+    """Send requests at once on some flows; return the deliveries of each."""
+    network = context.fleet.network
+    log = DeliveryLog(network)
+    results = context.run(upload_all(callers, count))
+    network.faults.remove(log.lose)
+    assert all(results), results
+    return [len(log.agents[caller.address]) for caller in callers]
+
+
+async def upload_all(callers, count, seconds=3.0):
+    """Send some requests at once on each flow; return which got all answers.
+
+    The answers come from the host that holds the flow, since no other host
+    takes its packets.
+    """
+    return await gather(
+        *(
+            caller.upload(
+                [
+                    b"part-%d-%d-%d" % (count, part, caller.sequence)
+                    for part in range(count)
+                ],
+                seconds,
+            )
+            for caller in callers
+        )
+    )
+
+
+@given(
+    'a caller whose flow "{first}" and the unlisted "{second}" accept during a'
+    " store outage"
+)
+def open_unlisted(context, first, second):
+    async def open_twice():
+        fleet = context.fleet
+        await fleet.settle()
+        fleet.store.is_down = True
+        await fleet.settle(3.0)
+        fleet.add_host(second, SERVICE)
+        context.caller = caller = fleet.make_caller()
+        opening = create_task(caller.open())
+        other = fleet.network.open(Address("10.1.0.99", LINK_PORT))
+        packet = make_head(
+            caller.address,
+            caller.entry,
+            SYN,
+            sequence=caller.sequence,
+            ack=1,
+        )
+        header = encode_delivery_header(hash_name(SERVICE), 0)
+        other.send(
+            bytes((MessageKind.DELIVERY,)) + header + packet,
+            fleet.agents[second].settings.link,
+        )
+        assert await opening
+        await sleep(0.1)
+
+    context.run(open_twice())
+    assert all(len(context.fleet.hosts[n].flows) == 1 for n in (first, second))
+
+
+@when('the caller asks for {seconds:g} s with the sequence number of "{name}"')
+def ask_as_accepted_by(context, seconds, name):
+    caller = context.caller
+    (caller.host_sequence,) = context.fleet.hosts[name].flows.values()
+    assert context.run(caller.ask(b"early", seconds)) is None
+
+
+@then(
+    '"{name}" answers the caller within {seconds:g} s of the store\'s return'
+)
+def check_answer_after_outage(context, name, seconds):
+    context.fleet.store.is_down = False
+    context.run(context.caller.upload([b"later"], seconds))
+    answers = context.caller.answers
+    assert name.encode() + b":later" in answers, answers
+
+
+@then(
+    "{count:d} requests at once on every open flow are answered within"
+    " {seconds:g} s"
+)
+def check_uploads(context, count, seconds):
+    callers = [caller for caller, _ in context.flows]
+    results = context.run(upload_all(callers, count, seconds))
+    assert all(results), (results.count(False), len(results))
