Keep asking a target until it returns the flow

Cause: a balancer without state of a flow took one unanswered packet for a sign that a target is not the owner, and asked it again only after all others. One lost datagram to the owner then cost one repetition of the caller, 0.2 to 1.6 s apart, for each group of targets that did not all answer.

Now only a return proves that a target is not the owner. Until then it stays a candidate that also gets what the caller repeats. One packet of a flow is offered, the others wait for the owner, so that a search costs one packet a target however many are in flight; copies are recognised. A repetition is recognised by any earlier sequence number, since a caller repeats the first of several packets in flight. Suspended targets are asked in their place but not waited for: a false suspicion moved the owner to the end. A delivery says that the owner is searched for, so that an agent reports again to a balancer that restarted at its address or lost the report.

Tried before, and not kept: candidates that double with each repetition, and all packets of a flow sent to each target.

The test of a flow's lists reads the lists that there are now; its bound is the same.

--- a/chicorycart/packets/segment.py
+++ b/chicorycart/packets/segment.py
@@ -74,6 +74,11 @@
         self.acknowledged = acknowledged
         self.payload_bytes = payload_bytes
 
+    @property
+    def has_contents(self) -> bool:
+        """Whether its receiver acknowledges the packet: data, or an end."""
+        return self.payload_bytes > 0 or self.is_closing
+
     @property
     def copies(self) -> int:
         """How often the caller sent this opening packet before."""
--- a/chicorycart/steering/flows.py
+++ b/chicorycart/steering/flows.py
@@ -5,11 +5,14 @@
 
 from chicorycart.address import Address
 from chicorycart.clock import Clock
+from chicorycart.packets.segment import Segment
 from chicorycart.steering.directory import Member
 from chicorycart.steering.limits import MAX_FLOWS
 from chicorycart.steering.routes import Route
 from chicorycart.steering.routes import ServiceLevel
 
+SEQUENCE_RANGE = 1 << 32
+
 
 class SteeredFlow:
     """State of one flow at a balancer.
@@ -23,7 +26,8 @@
     level : ServiceLevel
         Latency objective, timeout and priority of its route.
     agent : Address or None
-        Agent that its packets are sent to.
+        Agent that its packets are sent to; the first of the candidates while
+        the owner is searched for.
     is_confirmed : bool
         Whether that agent reported that its host holds the flow.
     has_lost_owner : bool
@@ -38,7 +42,9 @@
     copies : int
         Retransmissions of the opening packet by the caller.
     last_sequence : int or None
-        Sequence number of the caller's last data.
+        Highest sequence number of the caller's data.
+    asked_at : float
+        Time at which its packets were last sent to another target.
     arrived_at : float
         Time at which its opening packet first arrived here.
     last_active_at : float
@@ -55,13 +61,12 @@
     possible_owners : list of Address
         Agents that may hold the open flow, most likely first.
     candidates : list of Address
-        Agents that its packets are sent to while the owner is searched for.
-    first_candidates : list of Address
-        First agent of each round of candidates.
+        Agents that its packets are sent to while the owner is searched for:
+        those that were asked and did not return the flow.
+    awaited : list of Address
+        Candidates of the last group that are expected to answer soon.
     non_owners : list of Address
         Agents that returned the open flow, since their hosts don't hold it.
-    unresponsive : list of Address
-        Agents that the open flow was sent to without any response.
     timer : TimerHandle or None
         Runs until an offered opening packet has to be answered.
     """
@@ -78,6 +83,7 @@
         "first_sequence",
         "copies",
         "last_sequence",
+        "asked_at",
         "arrived_at",
         "last_active_at",
         "tried",
@@ -86,9 +92,8 @@
         "accepted",
         "possible_owners",
         "candidates",
-        "first_candidates",
+        "awaited",
         "non_owners",
-        "unresponsive",
         "timer",
     )
 
@@ -104,6 +109,7 @@
         self.first_sequence: int | None = None
         self.copies = 0
         self.last_sequence: int | None = None
+        self.asked_at = 0.0
         self.arrived_at = 0.0
         self.last_active_at = 0.0
         self.tried: list[Address] = []
@@ -112,9 +118,8 @@
         self.accepted: dict[int, Address] = {}
         self.possible_owners: list[Address] = []
         self.candidates: list[Address] = []
-        self.first_candidates: list[Address] = []
+        self.awaited: list[Address] = []
         self.non_owners: list[Address] = []
-        self.unresponsive: list[Address] = []
         self.timer: TimerHandle | None = None
 
     def record_owner(self, agent: Address) -> None:
@@ -123,6 +128,28 @@
         self.is_confirmed = True
         self.candidates.clear()
 
+    def drop_candidate(self, agent: Address) -> None:
+        """Remove an agent whose host does not hold the flow."""
+        self.candidates.remove(agent)
+        if agent in self.awaited:
+            self.awaited.remove(agent)
+
+    def is_repetition(self, segment: Segment) -> bool:
+        """Tell whether the caller seems to have sent a packet before.
+
+        Of several packets in flight, the caller repeats the first one that
+        was not acknowledged, so its sequence number is not the latest.
+        """
+        if self.last_sequence is None or not segment.has_contents:
+            return False
+        ahead = (segment.sequence - self.last_sequence) % SEQUENCE_RANGE
+        return ahead == 0 or ahead > SEQUENCE_RANGE // 2
+
+    def record_sequence(self, segment: Segment) -> None:
+        """Record the sequence number of a caller's packet, if it is later."""
+        if segment.has_contents and not self.is_repetition(segment):
+            self.last_sequence = segment.sequence
+
     def stop_timer(self) -> None:
         """Cancel the timer of an offered opening packet."""
         if self.timer is not None:
--- a/chicorycart/steering/hosted.py
+++ b/chicorycart/steering/hosted.py
@@ -174,6 +174,15 @@
             self.openings.pop(segment.flow, None)
             self.mark_in_progress(state)
 
+    def forget_informed(self, flow: bytes) -> None:
+        """Let the agent report a flow again with the host's next packet.
+
+        Its balancer may have restarted, or lost the last report.
+        """
+        state = self.flows.get(flow)
+        if state is not None:
+            state.informed_balancer = None
+
     def mark_in_progress(self, state: HostedFlow) -> None:
         """Count a flow as a request in progress, if it is not yet."""
         if not state.is_counted:
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -66,10 +66,24 @@
 """Waiting packets of a service that are looked at in one turn; ranking the
 targets of each takes some 50 us."""
 
-MAX_SEARCH_CANDIDATES = CURRENT_CANDIDATES
-"""Targets that the packets of an open flow are sent to at once while its owner
-is searched for; the flow was most likely placed on one of the first
-candidates."""
+SEARCH_GROUP = CURRENT_CANDIDATES
+"""Targets that are asked at once for the owner of an open flow, and that each
+repetition of its caller adds; the flow was most likely placed on one of the
+first candidates."""
+
+MIN_REPETITION_SECONDS = 0.1
+"""Time after which a packet with an old sequence number counts as a repetition
+of the caller; before, the network may have reordered packets in flight.
+Callers repeat after 200 ms or more."""
+
+MAX_HELD_PACKETS = 8
+"""Packets of one flow that wait while its owner is searched for: 20 MB with
+MAX_PARKED flows and packets of the largest size. Callers have up to 16 in
+flight and repeat the others."""
+
+MAX_SEEN_PACKETS = 32
+"""Packets of one flow whose copies are recognised; twice the number that
+callers have in flight."""
 
 SUSPENSION_SECONDS = 0.5
 """First time for which an unresponsive target is suspended; about as long as
--- a/chicorycart/steering/messages.capnp
+++ b/chicorycart/steering/messages.capnp
@@ -5,6 +5,7 @@
   service @0 :UInt64;        # hash of the name of the flow's service
   limit @1 :UInt16;          # requests in progress at which an opening packet
                              # is declined; 0 for none
+  asksOwner @2 :Bool;        # the balancer does not know whose flow it is
 }
 
 struct TargetLoad {
--- a/chicorycart/steering/messages.py
+++ b/chicorycart/steering/messages.py
@@ -60,13 +60,17 @@
     limit : int
         Requests in progress from which an opening packet is declined; 0 for
         no limit.
+    asks_owner : bool
+        Whether the balancer searches for the owner of the flow, so that the
+        agent reports again if its host holds it.
     """
 
-    __slots__ = ("service", "limit")
+    __slots__ = ("service", "limit", "asks_owner")
 
-    def __init__(self, service: int, limit: int):
+    def __init__(self, service: int, limit: int, asks_owner: bool = False):
         self.service = service
         self.limit = limit
+        self.asks_owner = asks_owner
 
 
 class FlowReport:
@@ -114,9 +118,13 @@
 
 
 @lru_cache(HEADER_CACHE_ENTRIES)
-def encode_delivery_header(service: int, limit: int) -> bytes:
+def encode_delivery_header(
+    service: int, limit: int, asks_owner: bool = False
+) -> bytes:
     """Encode the header of a delivery, prefixed with its size."""
-    message = SCHEMA.DeliveryHeader.new_message(service=service, limit=limit)
+    message = SCHEMA.DeliveryHeader.new_message(
+        service=service, limit=limit, asksOwner=asks_owner
+    )
     return prefix_size(message.to_bytes())
 
 
@@ -137,7 +145,9 @@
     """Decode the header of a delivery."""
     try:
         with SCHEMA.DeliveryHeader.from_bytes(data) as message:
-            return DeliveryHeader(message.service, message.limit)
+            return DeliveryHeader(
+                message.service, message.limit, message.asksOwner
+            )
     except (capnp.KjException, ValueError) as error:
         raise SteeringMessageError(
             "delivery: the header is not a DeliveryHeader message"
--- a/chicorycart/steering/output.py
+++ b/chicorycart/steering/output.py
@@ -72,9 +72,14 @@
         )
 
     def deliver(
-        self, state: SteeredFlow, packet: bytes, limit: int = NO_LIMIT
+        self,
+        state: SteeredFlow,
+        packet: bytes,
+        agents: list[Address],
+        limit: int = NO_LIMIT,
+        asks_owner: bool = False,
     ) -> None:
-        """Send a packet to the agent of its flow, or to all candidates.
+        """Send a packet of a flow to some agents.
 
         Parameters
         ----------
@@ -82,12 +87,18 @@
             The flow.
         packet : bytes
             The packet as the caller sent it.
+        agents : list of Address
+            Agents to send it to.
         limit : int, optional
             Requests in progress from which the agent declines an opening
             packet; 0 for no limit.
+        asks_owner : bool, optional
+            Whether the agent is to report if its host holds the flow.
         """
-        header = encode_delivery_header(hash_name(state.service), limit)
-        for agent in state.candidates or [state.agent]:
+        header = encode_delivery_header(
+            hash_name(state.service), limit, asks_owner
+        )
+        for agent in agents:
             self.sender.send(MessageKind.DELIVERY, header + packet, agent)
 
     def reset_flow(self, segment: Segment, reason: str) -> None:
--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -80,7 +80,7 @@
         elif state.is_confirmed:
             # The host accepted the flow, but its answer to the caller was
             # lost: the host answers the retransmission.
-            output.deliver(state, segment.raw)
+            output.deliver(state, segment.raw, [state.agent])
             return
         elif segment.copies <= state.copies:
             # Duplicated by the network, not retransmitted by the caller.
@@ -186,8 +186,9 @@
         if agent not in state.tried:
             state.tried.append(agent)
         state.agent = agent
+        state.asked_at = self.health.clock.now()
         self.health.record_offer(agent)
-        self.output.deliver(state, segment.raw, limit)
+        self.output.deliver(state, segment.raw, [agent], limit)
         self.start_timer(state, segment, agent)
 
     def start_timer(
--- a/chicorycart/steering/relay.py
+++ b/chicorycart/steering/relay.py
@@ -121,6 +121,8 @@
                 self.awaiting_room[source] = header.limit
             return
         self.flows.record_inbound(segment, source)
+        if header.asks_owner:
+            self.flows.forget_informed(segment.flow)
         if segment.is_opening and self.is_full(header):
             # The balancer knows without a message that there is no room for
             # another flow; it is notified once there is.
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -7,20 +7,28 @@
 from chicorycart.steering.choice import TargetChoice
 from chicorycart.steering.flows import SteeredFlow
 from chicorycart.steering.health import HealthTable
+from chicorycart.steering.held import HeldPackets
 from chicorycart.steering.history import HistoryCheck
 from chicorycart.steering.limits import MAX_PARKED
-from chicorycart.steering.limits import MAX_SEARCH_CANDIDATES
+from chicorycart.steering.limits import MIN_REPETITION_SECONDS
+from chicorycart.steering.limits import SEARCH_GROUP
 from chicorycart.steering.output import join_agents
 from chicorycart.steering.output import SteererOutput
 from chicorycart.steering.parked import ParkedPackets
 
 
 class OwnerSearch:
-    """Sends the packets of an open flow to a few targets at a time.
+    """Finds the owner of an open flow by offering one of its packets.
 
     A host returns packets of flows that it does not hold, so a target that
-    returns nothing is the owner or is unresponsive. The search begins with
-    the targets on which the flow was most likely placed.
+    returns nothing is the owner, or is unresponsive, or a packet was lost.
+    Only a return proves that a target is not the owner: until then it stays
+    a candidate, which also gets what the caller repeats.
+
+    Targets are asked in groups of SEARCH_GROUP, first those on which the flow
+    was most likely placed. The next group is asked once all of the last one
+    returned the packet, or the caller repeats it. Other packets of the flow
+    wait, so that a search costs one packet for each target.
 
     Parameters
     ----------
@@ -38,17 +46,23 @@
 
     Attributes
     ----------
+    directory : Directory
+        Known targets.
+    held : HeldPackets
+        Packets of the flows whose owners are searched for.
     undecided : dict of bytes to Segment
-        Last packet of each flow that no known target holds and that can't
-        be reset yet, since a live target may be missing in the list.
+        Last packet of each flow that no known target holds and that can't be
+        reset yet, since a live target may be missing in the list.
     """
 
     __slots__ = (
         "choice",
+        "directory",
         "health",
         "parked",
         "output",
         "history",
+        "held",
         "undecided",
     )
 
@@ -61,10 +75,12 @@
         history: HistoryCheck,
     ):
         self.choice = choice
+        self.directory = choice.directory
         self.health = health
         self.parked = parked
         self.output = output
         self.history = history
+        self.held = HeldPackets()
         self.undecided: OrderedDict[bytes, Segment] = OrderedDict()
 
     def begin(self, segment: Segment) -> SteeredFlow | None:
@@ -83,9 +99,10 @@
             output.count("no route")
             return None
         self.parked.drop(segment.flow)
+        self.forget(segment.flow)
         state = output.flows.add(segment.flow, route)
         state.is_open = True
-        if not self.advance(state):
+        if not self.add_candidates(state):
             output.flows.drop(segment.flow)
             output.count("no target")
             return None
@@ -98,61 +115,127 @@
         )
         return state
 
-    def advance(self, state: SteeredFlow) -> bool:
-        """Select the next targets that the packets of a flow are sent to.
+    def forget(self, flow: bytes) -> None:
+        """Forget the packets of an earlier flow with the same five-tuple."""
+        self.held.drop(flow)
+        self.undecided.pop(flow, None)
+
+    def add_candidates(self, state: SteeredFlow) -> list[Address]:
+        """Add the next group of targets to the candidates of a flow.
+
+        Suspended targets are added in passing: they may hold the flow, but
+        are not expected to answer, so that they delay none of the others.
 
         Returns
         -------
-        bool
-            False if every target has returned the flow.
+        list of Address
+            The added targets; empty if every possible owner was asked.
         """
-        remaining = list_remaining_owners(state)
+        remaining = self.list_remaining_owners(state)
         if not remaining:
             # Targets may have been listed since the last ranking.
             state.possible_owners = self.choice.list_possible_owners(
                 state.service, state.flow
             )
-            remaining = list_remaining_owners(state)
-        state.candidates.clear()
-        if not remaining:
-            return False
-        if all(agent in state.unresponsive for agent in remaining):
-            state.unresponsive.clear()
-        remaining = [
-            agent for agent in remaining if agent not in state.unresponsive
+            remaining = self.list_remaining_owners(state)
+        added = []
+        awaited = []
+        for agent in remaining[: 2 * SEARCH_GROUP]:
+            added.append(agent)
+            if not self.health.is_suspended(agent):
+                awaited.append(agent)
+            if len(awaited) == SEARCH_GROUP:
+                break
+        if added:
+            state.awaited = awaited
+            state.candidates += added
+            state.agent = state.candidates[0]
+            state.is_confirmed = False
+        return added
+
+    def list_remaining_owners(self, state: SteeredFlow) -> list[Address]:
+        """Return the known agents that were not asked for a flow yet."""
+        return [
+            agent
+            for agent in state.possible_owners
+            if agent not in state.non_owners
+            and agent not in state.candidates
+            and self.directory.is_known(agent.host)
         ]
-        remaining.sort(key=self.health.is_suspended)
-        state.candidates = remaining[:MAX_SEARCH_CANDIDATES]
-        state.agent = state.candidates[0]
-        if state.agent in state.first_candidates:
-            state.first_candidates.remove(state.agent)
-        state.first_candidates.append(state.agent)
-        state.is_confirmed = False
-        return True
 
-    def skip_unresponsive(self, state: SteeredFlow, segment: Segment) -> None:
-        """Select other targets if a caller repeats unanswered data."""
-        if not segment.payload_bytes:
+    def forward(self, state: SteeredFlow, segment: Segment) -> None:
+        """Send a caller's packet of an open flow to the flow's owner.
+
+        While the owner is searched for, the packet is offered to the
+        candidates, or waits.
+        """
+        is_repetition = state.is_repetition(segment)
+        state.record_sequence(segment)
+        if state.is_confirmed:
+            self.send_to_owner(state, segment)
             return
-        if segment.sequence == state.last_sequence:
-            before = list(state.candidates) or [state.agent]
-            state.unresponsive += before
-            self.advance(state)
-            self.output.record(
-                "flow_doubted",
-                state.flow,
-                "agents={} before={} reason={!r}",
-                join_agents(state.candidates),
-                join_agents(before),
-                "the caller repeats its data",
-            )
+        waited = self.health.clock.now() - state.asked_at
+        if is_repetition and waited >= MIN_REPETITION_SECONDS:
+            self.widen(state, "the caller repeats its packets")
+        elif self.is_asking(state) and waited < MIN_REPETITION_SECONDS:
+            self.held.add(segment)
+            self.output.count("held")
+            return
+        if not state.candidates and state.agent in state.non_owners:
+            self.keep_undecided(segment)
+            self.output.count("unheld")
+            return
+        self.ask(state, segment, state.candidates or [state.agent])
 
-    def forward_segment(self, state: SteeredFlow, segment: Segment) -> None:
-        """Send a packet of an open flow to its agent or to all candidates."""
+    def send_to_owner(self, state: SteeredFlow, segment: Segment) -> None:
+        """Send a packet to the confirmed owner."""
         self.output.count("forwarded")
-        if not state.is_confirmed and self.health.is_suspended(state.agent):
+        self.output.deliver(state, segment.raw, [state.agent])
+
+    def is_asking(self, state: SteeredFlow) -> bool:
+        """Tell whether candidates have a packet that they have to answer."""
+        probe = self.held.find(state.flow).probe
+        return (
+            len(state.candidates) > 1
+            and probe is not None
+            and probe.has_contents
+        )
+
+    def ask(
+        self, state: SteeredFlow, segment: Segment, agents: list[Address]
+    ) -> None:
+        """Send a packet of an open flow to agents whose hosts may hold it."""
+        state.asked_at = self.health.clock.now()
+        self.held.set_probe(segment)
+        if all(map(self.health.is_suspended, agents)):
             self.parked.put_data(segment, state)
-        self.output.deliver(state, segment.raw)
+        self.output.count("forwarded")
+        self.output.deliver(state, segment.raw, agents, asks_owner=True)
+
+    def resume(self, state: SteeredFlow, segment: Segment) -> None:
+        """Send a packet that waited until a candidate is responsive."""
+        agents = state.candidates or [state.agent]
+        self.output.deliver(state, segment.raw, agents, asks_owner=True)
+
+    def can_resume(self, state: SteeredFlow) -> bool:
+        """Tell whether one of the agents of a flow seems responsive."""
+        agents = state.candidates or [state.agent]
+        return not all(map(self.health.is_suspended, agents))
+
+    def widen(self, state: SteeredFlow, reason: str) -> None:
+        """Add candidates, since the present ones may not hold a flow."""
+        if not state.candidates and state.agent not in state.non_owners:
+            state.candidates.append(state.agent)
+        unanswered = list(state.candidates)
+        added = self.add_candidates(state)
+        self.output.record(
+            "flow_doubted",
+            state.flow,
+            "agents={} before={} reason={!r}",
+            join_agents(added),
+            join_agents(unanswered),
+            reason,
+        )
 
     def handle_return(
         self, state: SteeredFlow, segment: Segment, agent: Address
@@ -161,35 +244,75 @@
         if agent not in state.non_owners:
             state.non_owners.append(agent)
         if agent in state.candidates:
-            state.candidates.remove(agent)
-            if not state.candidates:
-                self.try_next(state, segment, agent)
-        elif agent == state.agent:
-            if state.is_confirmed:
-                state.has_lost_owner = True
-            self.try_next(state, segment, agent)
-        elif agent in state.first_candidates[:-1]:
-            # The packet was sent before the present candidates were
-            # selected, so none of them has it. Of the copies that earlier
-            # candidates return, only that of the first one is forwarded.
-            self.forward_segment(state, segment)
-
-    def try_next(
+            state.drop_candidate(agent)
+            if not state.awaited:
+                self.ask_next(state, segment, agent)
+            elif len(state.candidates) == 1:
+                self.send_waiting(state)
+        elif agent == state.agent and not state.candidates:
+            state.has_lost_owner |= state.is_confirmed
+            state.is_confirmed = False
+            self.ask_next(state, segment, agent)
+        elif not state.is_confirmed:
+            self.held.add(segment)
+        elif self.held.find(state.flow).mark_seen(segment):
+            self.send_to_owner(state, segment)
+
+    def ask_next(
         self, state: SteeredFlow, segment: Segment, before: Address
     ) -> None:
-        """Try the next targets, or give the flow up if none is left."""
-        if not self.advance(state):
-            self.give_up(state, segment)
+        """Ask the next targets, or give the flow up if none is left."""
+        if self.add_and_ask(state, segment, before):
             return
+        if not state.candidates:
+            self.give_up(state, segment)
+        elif len(state.candidates) == 1:
+            self.send_waiting(state)
+
+    def send_waiting(self, state: SteeredFlow) -> None:
+        """Send the packets that waited to the only candidate that is left."""
+        for packet in self.held.take_waiting(state.flow):
+            self.output.deliver(state, packet.raw, state.candidates)
+
+    def add_and_ask(
+        self, state: SteeredFlow, segment: Segment, before: Address
+    ) -> bool:
+        """Ask the next targets, if any is left.
+
+        Parameters
+        ----------
+        state : SteeredFlow
+            The flow.
+        segment : Segment
+            Packet to send if the flow has no probe.
+        before : Address
+            Agent that returned the flow last.
+        """
+        added = self.add_candidates(state)
+        if not added:
+            return False
         self.output.record(
             "flow_moved",
             state.flow,
             "agents={} before={} missed={}",
-            join_agents(state.candidates),
+            join_agents(added),
             before,
             len(state.non_owners),
         )
-        self.forward_segment(state, segment)
+        probe = self.held.find(state.flow).probe or segment
+        self.ask(state, probe, added)
+        return True
+
+    def handle_found(self, state: SteeredFlow, agent: Address) -> None:
+        """Record the agent that reported that its host holds a flow."""
+        state.record_owner(agent)
+        self.release(state)
+
+    def release(self, state: SteeredFlow) -> None:
+        """Send the packets that waited to the confirmed owner of a flow."""
+        for packet in self.held.take_waiting(state.flow):
+            self.send_to_owner(state, packet)
+        self.held.drop_packets(state.flow)
 
     def give_up(self, state: SteeredFlow, segment: Segment) -> None:
         """Reset a flow that no target holds, if that is certain.
@@ -200,13 +323,10 @@
         complete.
         """
         if state.has_lost_owner or self.output.follower.knows_all_targets():
-            self.undecided.pop(state.flow, None)
-            self.output.reset_flow(segment, "held by no target")
+            self.reset(segment, "held by no target")
             return
         self.history.request_check()
-        self.undecided[state.flow] = segment
-        if len(self.undecided) > MAX_PARKED:
-            self.undecided.popitem(last=False)
+        self.keep_undecided(segment)
         self.output.count("unheld")
         self.output.record(
             "flow_left",
@@ -216,6 +336,17 @@
             "not all targets may be listed yet",
         )
 
+    def reset(self, segment: Segment, reason: str) -> None:
+        """Reset a flow that no target can hold."""
+        self.forget(segment.flow)
+        self.output.reset_flow(segment, reason)
+
+    def keep_undecided(self, segment: Segment) -> None:
+        """Keep a flow's last packet until the flow can be decided on."""
+        self.undecided[segment.flow] = segment
+        if len(self.undecided) > MAX_PARKED:
+            self.undecided.popitem(last=False)
+
     def retry_undecided(self) -> None:
         """Resume or reset undecided flows once the list is complete."""
         if not self.undecided:
@@ -226,18 +357,7 @@
         undecided, self.undecided = self.undecided, OrderedDict()
         for flow, segment in undecided.items():
             state = self.output.flows.find(flow)
-            if state is None or state.is_confirmed:
+            if state is None or not state.is_open or state.is_confirmed:
                 continue
-            if self.advance(state):
-                self.forward_segment(state, segment)
-            else:
-                self.give_up(state, segment)
-
-
-def list_remaining_owners(state: SteeredFlow) -> list[Address]:
-    """Return the agents that have not returned a flow."""
-    return [
-        agent
-        for agent in state.possible_owners
-        if agent not in state.non_owners
-    ]
+            if not state.candidates:
+                self.ask_next(state, segment, state.agent)
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -75,12 +75,9 @@
             if state is None:
                 return
         elif not state.is_open:
+            self.search.forget(segment.flow)
             self.placer.complete_opening(state, segment)
-        elif not state.is_confirmed:
-            self.search.skip_unresponsive(state, segment)
-        if segment.payload_bytes:
-            state.last_sequence = segment.sequence
-        self.search.forward_segment(state, segment)
+        self.search.forward(state, segment)
 
     def handle_report(self, body: bytes, source: Address) -> None:
         """Handle an agent's report that its host holds a flow."""
@@ -91,6 +88,8 @@
             return
         if report.is_accepted:
             self.placer.handle_acceptance(state, report, source)
+            if state.is_open and state.is_confirmed:
+                self.search.release(state)
             self.offer_next(source)
             return
         if state.agent != source or not state.is_confirmed:
@@ -101,7 +100,7 @@
                 source,
                 len(state.non_owners),
             )
-        state.record_owner(source)
+        self.search.handle_found(state, source)
 
     def handle_load(self, body: bytes, source: Address) -> None:
         """Handle a load message of an agent that may accept a flow."""
@@ -151,7 +150,7 @@
                 if segment.is_opening:
                     self.placer.place(state, segment)
                 else:
-                    self.output.deliver(state, segment.raw)
+                    self.search.resume(state, segment)
 
     def offer_next(self, agent: Address) -> None:
         """Offer the next waiting flow to an agent that reported its load."""
@@ -171,7 +170,7 @@
         """Tell whether a waiting packet can be sent now."""
         if segment.is_opening:
             return state.timer is None and self.placer.can_resume(state)
-        return not self.health.is_suspended(state.agent)
+        return self.search.can_resume(state)
 
     def expire(self, segment: Segment) -> None:
         """Give up a packet that waited too long; reset an opening flow."""
--- a/tests/steering/history_steps.py
+++ b/tests/steering/history_steps.py
@@ -213,10 +213,10 @@
         kept = (
             state.possible_owners,
             state.candidates,
-            state.first_candidates,
+            state.awaited,
             state.non_owners,
         )
-        sizes = [len(agents) for agents in (*kept, state.unresponsive)]
+        sizes = [len(agents) for agents in kept]
         assert max(sizes) <= 6, sizes
 
 
