Ask draining targets for open flows in their usual place

Cause: draining targets ranked behind all others. That is right for new flows, which they do not get anyway, but an open flow was placed on one of its first four candidates, whatever became of that target since. During a release most flows that are searched for belong to draining hosts.

Open flows now go by the hash alone; only targets that are no longer listed come last.

--- a/chicorycart/steering/choice.py
+++ b/chicorycart/steering/choice.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 
 from chicorycart.address import Address
+from chicorycart.configuration.model import Target
 from chicorycart.defaults import CURRENT_CANDIDATES
 from chicorycart.packets.flow import hash_flow
 from chicorycart.placement.chain import bucket_of
@@ -41,26 +42,36 @@
     def rank(self, service: str, flow: bytes) -> list[Member]:
         """Return all targets of a service in the preference order of a flow.
 
-        Targets that are draining or no longer listed come last.
+        Targets that are no longer listed come last.
         """
         bucket = bucket_of(hash_flow(flow))
         members = self.directory.list_members(service)
         members.sort(
-            key=lambda m: (
-                m.lapses_at is None,
-                m.takes_new_work,
-                score_target(m.target, bucket),
-                m.target.name,
-            ),
+            key=lambda m: (m.lapses_at is None, *score(m.target, bucket)),
             reverse=True,
         )
         return members
 
     def list_possible_owners(self, service: str, flow: bytes) -> list[Address]:
-        """Return the agents that may hold an open flow, most likely first."""
+        """Return the agents that may hold an open flow, most likely first.
+
+        Draining targets keep the places that they had when flows were placed
+        on them.
+        """
+        bucket = bucket_of(hash_flow(flow))
+        members = self.directory.list_members(service)
+        vanished = self.directory.list_vanished(service)
+        targets = [
+            *((True, m.target) for m in members if m.lapses_at is None),
+            *((False, m.target) for m in members if m.lapses_at is not None),
+        ]
+        targets.sort(
+            key=lambda ranked: (ranked[0], *score(ranked[1], bucket)),
+            reverse=True,
+        )
         return [
-            *(member.target.agent for member in self.rank(service, flow)),
-            *self.directory.list_vanished(service),
+            *(target.agent for _, target in targets),
+            *vanished,
         ]
 
     def choose(
@@ -117,3 +128,8 @@
             member.target.domain != self.domain,
             work,
         )
+
+
+def score(target: Target, bucket: int) -> tuple[float, str]:
+    """Return the sort key of a target in the preference order of a bucket."""
+    return score_target(target, bucket), target.name
