Keep a drained host's flows until its agent is silent

Cause: a draining target was taken for gone at the removal of its entry. The host serves on for a time, "at times many seconds" as the platform says. Balancers then dropped its messages as foreign, so that searches under way stopped at it until the caller repeated its packet, and reset its flows.

Such a target is now leaving: it gets no new flows, but its messages count and it is asked for open flows in its usual place, until its agent leaves six probes in a row unanswered. Its flows are reset then, also those that a balancer knows, which waited for their time-out before. A balancer that starts later finds leaving targets in the store's history. After a restart of all hosts two probes suffice.

--- a/chicorycart/steering/balancer.py
+++ b/chicorycart/steering/balancer.py
@@ -42,7 +42,7 @@
 from chicorycart.steering.pages import Pages
 from chicorycart.steering.parked import ParkedPackets
 from chicorycart.steering.placing import FlowPlacer
-from chicorycart.steering.probes import SuspensionProber
+from chicorycart.steering.probes import TargetProber
 from chicorycart.steering.published import PublishedStore
 from chicorycart.steering.receivers import MessageReceiver
 from chicorycart.steering.searching import OwnerSearch
@@ -106,7 +106,7 @@
             (MessageKind.PROBE_ANSWER, self.steerer.handle_load),
         ):
             self.link.register(kind, MessageReceiver(handler))
-        self.prober = SuspensionProber(self.directory, health, self.link)
+        self.prober = TargetProber(self.directory, health, self.link)
         self.pages = Pages(settings, self.metrics, self)
         self.add_gauges(events)
         self.is_stopping = False
--- a/chicorycart/steering/choice.py
+++ b/chicorycart/steering/choice.py
@@ -55,14 +55,15 @@
     def list_possible_owners(self, service: str, flow: bytes) -> list[Address]:
         """Return the agents that may hold an open flow, most likely first.
 
-        Draining targets keep the places that they had when flows were placed
-        on them.
+        Draining and leaving targets keep the places that they had when flows
+        were placed on them.
         """
         bucket = bucket_of(hash_flow(flow))
         members = self.directory.list_members(service)
         vanished = self.directory.list_vanished(service)
         targets = [
             *((True, m.target) for m in members if m.lapses_at is None),
+            *((True, v.target) for v in vanished if v.was_draining),
             *((False, m.target) for m in members if m.lapses_at is not None),
         ]
         targets.sort(
@@ -71,7 +72,7 @@
         )
         return [
             *(target.agent for _, target in targets),
-            *vanished,
+            *(v.target.agent for v in vanished if not v.was_draining),
         ]
 
     def choose(
--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -10,6 +10,8 @@
 from chicorycart.configuration.model import TargetState
 from chicorycart.steering.limits import LAPSE_SECONDS
 from chicorycart.steering.limits import MAX_REMOVED
+from chicorycart.steering.limits import MAX_UNANSWERED_PROBES
+from chicorycart.steering.limits import PROBES_AFTER_RESTART
 from chicorycart.steering.published import ListedState
 from chicorycart.steering.published import Listing
 from chicorycart.steering.published import ListingChange
@@ -62,21 +64,48 @@
 
 
 class VanishedTarget:
-    """A target that vanished without draining and was not listed again.
+    """A target that is not listed any more, but whose host may be alive.
 
     Attributes
     ----------
+    target : Target
+        The target in the form that placement ranks.
     service : str
         Service that it belonged to.
     expires_at : float
         Time until which its host may hold flows.
+    was_draining : bool
+        Whether it vanished while it was draining. Its host ends soon, so
+        that an agent that answers no probes proves that it has.
+    unanswered_probes : int
+        Probes in a row that its agent did not answer.
+    probed_at : float
+        Time of the last probe, or of the removal before the first one.
     """
 
-    __slots__ = ("service", "expires_at")
+    __slots__ = (
+        "target",
+        "service",
+        "expires_at",
+        "was_draining",
+        "unanswered_probes",
+        "probed_at",
+    )
 
-    def __init__(self, service: str, expires_at: float):
+    def __init__(
+        self,
+        target: Target,
+        service: str,
+        expires_at: float,
+        was_draining: bool,
+        probed_at: float,
+    ):
+        self.target = target
         self.service = service
         self.expires_at = expires_at
+        self.was_draining = was_draining
+        self.unanswered_probes = 0
+        self.probed_at = probed_at
 
 
 class Directory:
@@ -84,7 +113,9 @@
 
     A target whose entry vanishes while it is not draining is kept for a short
     time and ranked behind all others: entries expire while the store is
-    unreachable, and live hosts are listed again soon after its return.
+    unreachable, and live hosts are listed again soon after its return. The
+    host of a draining target may still serve its flows after its entry was
+    removed, so the target counts as leaving until its agent is silent.
 
     Parameters
     ----------
@@ -94,8 +125,8 @@
         Port on which every agent receives messages.
     flow_ttl_seconds : float
         Idle time after which a flow may be forgotten. A target that vanished
-        without draining may hold flows for that long: its host may be alive
-        and only cut off from the store.
+        may hold flows for that long: its host may be alive and only cut off
+        from the store, or still end its work.
     lapse_seconds : float, optional
         Time for which a target that vanished may still get new flows.
 
@@ -106,7 +137,11 @@
     removed_revisions : OrderedDict of str to int
         Revision of the removal of each target that was removed, by name.
     vanished : dict of Address to VanishedTarget
-        Targets that vanished without draining, by the address of their agent.
+        Targets that vanished and may be alive, by the address of their agent.
+    ended : OrderedDict of Address to None
+        Agents of leaving targets whose hosts have ended, latest last.
+    changes : int
+        Number of targets that were added or proved to have ended so far.
     """
 
     __slots__ = (
@@ -119,6 +154,8 @@
         "by_agent_host",
         "flow_ttl_seconds",
         "vanished",
+        "ended",
+        "changes",
     )
 
     def __init__(
@@ -137,6 +174,8 @@
         self.by_agent_host: dict[str, Member] = {}
         self.flow_ttl_seconds = flow_ttl_seconds
         self.vanished: dict[Address, VanishedTarget] = {}
+        self.ended: OrderedDict[Address, None] = OrderedDict()
+        self.changes = 0
 
     def replace(self, changes: list[ListingChange], revision: int) -> None:
         """Apply a full read; targets missing from it have vanished."""
@@ -174,15 +213,8 @@
         known = self.members.get(listing.name)
         if known is not None:
             self.discard(known)
-        agent = Address(listing.address.host, self.agent_port)
-        target = Target(
-            listing.name,
-            agent,
-            listing.domain,
-            EQUAL_WEIGHT,
-            listing.slots,
-            TARGET_STATES[listing.state],
-        )
+        target = self.make_target(listing)
+        agent = target.agent
         member = Member(target, listing, revision)
         if known is not None:
             member.took_over_address = known.took_over_address
@@ -192,6 +224,9 @@
         self.services.setdefault(listing.service, {})[listing.name] = member
         self.by_agent_host[agent.host] = member
         self.vanished.pop(agent, None)
+        self.ended.pop(agent, None)
+        if known is None:
+            self.changes += 1
         if known is None or has_changed(known, member):
             LOGGER.info(
                 "event=target_listed target={} service={} address={} state={}"
@@ -206,6 +241,17 @@
                 revision,
             )
 
+    def make_target(self, listing: Listing) -> Target:
+        """Return the target of an entry in the form that placement ranks."""
+        return Target(
+            listing.name,
+            Address(listing.address.host, self.agent_port),
+            listing.domain,
+            EQUAL_WEIGHT,
+            listing.slots,
+            TARGET_STATES[listing.state],
+        )
+
     def discard_replaced(self, member: Member, successor: str) -> None:
         """Discard a target whose address another one has taken over."""
         name = member.listing.name
@@ -227,7 +273,8 @@
     def remove(self, name: str, revision: int, reason: str) -> None:
         """Apply the removal of an entry.
 
-        A draining target is discarded at once, any other after lapse_seconds.
+        A draining target gets no more flows and departs at once, any other
+        is discarded after lapse_seconds.
         """
         self.record_removed(name, revision)
         member = self.members.get(name)
@@ -247,9 +294,11 @@
             )
             return
         self.discard(member)
+        self.record_vanished(member.listing, was_draining=True)
         LOGGER.info(
-            "event=target_gone target={} reason={!r} revision={}",
+            "event=target_leaving target={} agent={} reason={!r} revision={}",
             name,
+            member.target.agent,
             reason,
             revision,
         )
@@ -285,22 +334,73 @@
         """Tell whether a target was known at the last full read or since."""
         return name in self.members or name in self.removed_revisions
 
-    def record_vanished(self, listing: Listing) -> None:
-        """Record a host that may be alive although it is not listed."""
-        agent = Address(listing.address.host, self.agent_port)
-        if agent.host not in self.by_agent_host:
-            self.vanished[agent] = VanishedTarget(
-                listing.service, self.clock.now() + self.flow_ttl_seconds
-            )
+    def record_vanished(
+        self, listing: Listing, was_draining: bool = False
+    ) -> None:
+        """Record a host that may be alive although it is not listed.
+
+        Parameters
+        ----------
+        listing : Listing
+            Its last entry.
+        was_draining : bool, optional
+            Whether it was draining.
+        """
+        target = self.make_target(listing)
+        if target.agent.host in self.by_agent_host:
+            return
+        if was_draining and self.has_ended(target.agent):
+            return
+        now = self.clock.now()
+        self.vanished[target.agent] = VanishedTarget(
+            target,
+            listing.service,
+            now + self.flow_ttl_seconds,
+            was_draining,
+            now,
+        )
+        self.changes += 1
 
-    def list_vanished(self, service: str) -> list[Address]:
-        """Return the agents of targets that vanished without draining."""
+    def list_vanished(self, service: str) -> list[VanishedTarget]:
+        """Return the vanished targets of a service that may be alive."""
         now = self.clock.now()
         for agent in [
             a for a, v in self.vanished.items() if now >= v.expires_at
         ]:
             del self.vanished[agent]
-        return [a for a, v in self.vanished.items() if v.service == service]
+        return [v for v in self.vanished.values() if v.service == service]
+
+    def list_leaving(self) -> list[VanishedTarget]:
+        """Return the targets that vanished while draining."""
+        return [v for v in self.vanished.values() if v.was_draining]
+
+    def is_leaving(self, agent: Address) -> bool:
+        """Tell whether an agent's host may live on after its entry's end."""
+        target = self.vanished.get(agent)
+        return target is not None and target.was_draining
+
+    def has_ended(self, agent: Address) -> bool:
+        """Tell whether an agent's host proved to have ended."""
+        return agent in self.ended
+
+    def discard_leaving(self, agent: Address, reason: str) -> None:
+        """Discard a leaving target whose host has ended."""
+        vanished = self.vanished.pop(agent)
+        self.changes += 1
+        self.ended[agent] = None
+        if len(self.ended) > MAX_REMOVED:
+            self.ended.popitem(last=False)
+        LOGGER.info(
+            "event=target_gone target={} reason={!r}",
+            vanished.target.name,
+            reason,
+        )
+
+    def hasten_leaving(self) -> None:
+        """Let a few more unanswered probes prove that leaving hosts ended."""
+        fewest = MAX_UNANSWERED_PROBES - PROBES_AFTER_RESTART
+        for leaving in self.list_leaving():
+            leaving.unanswered_probes = max(leaving.unanswered_probes, fewest)
 
     def find_by_host(self, host: str) -> Member | None:
         """Return the target whose agent has this IP address."""
@@ -309,10 +409,11 @@
     def is_known(self, host: str) -> bool:
         """Tell whether this is the IP address of the agent of a target.
 
-        Targets that vanished without draining count too.
+        Targets that vanished and may be alive count too.
         """
-        return host in self.by_agent_host or any(
-            agent.host == host for agent in self.vanished
+        return (
+            host in self.by_agent_host
+            or Address(host, self.agent_port) in self.vanished
         )
 
 
--- a/chicorycart/steering/history.py
+++ b/chicorycart/steering/history.py
@@ -33,6 +33,8 @@
     ----------
     hosts : list of Listing
         Last entries of those whose address is known.
+    leaving : list of Listing
+        Last entries of those that were draining.
     unlocated : list of str
         Names of those of which only the removal is known, so that their
         address is not.
@@ -41,21 +43,23 @@
         before it began has had the time to be listed again.
     """
 
-    __slots__ = ("hosts", "unlocated", "covers_relisting")
+    __slots__ = ("hosts", "leaving", "unlocated", "covers_relisting")
 
     def __init__(
         self,
         hosts: list[Listing],
+        leaving: list[Listing],
         unlocated: list[str],
         covers_relisting: bool,
     ):
         self.hosts = hosts
+        self.leaving = leaving
         self.unlocated = unlocated
         self.covers_relisting = covers_relisting
 
     @property
     def are_all_known(self) -> bool:
-        """Whether every live host is listed or one of `hosts`."""
+        """Whether every live host is listed, or one of those above."""
         return self.covers_relisting and not self.unlocated
 
 
@@ -66,9 +70,9 @@
 ) -> VanishedHosts:
     """Return the hosts that may be alive although they are not listed.
 
-    A host whose last entry was draining has stopped, and so has one whose
-    address now belongs to a host that started later. An entry that cannot be
-    decoded does not count as a host.
+    A host whose address now belongs to a host that started later has ended.
+    One whose last entry was draining may still serve its flows for a time. An
+    entry that cannot be decoded does not count as a host.
 
     Parameters
     ----------
@@ -84,18 +88,21 @@
         listing.address.host: listing.incarnation for listing in listed
     }
     hosts = []
+    leaving = []
     unlocated = []
     for name, listing in find_last_entries(changes).items():
         if name in present:
             continue
         if listing is None:
             unlocated.append(name)
-        elif listing.state is not ListedState.DRAINING and (
-            incarnations.get(listing.address.host, 0) <= listing.incarnation
-        ):
+        elif incarnations.get(listing.address.host, 0) > listing.incarnation:
+            continue
+        elif listing.state is ListedState.DRAINING:
+            leaving.append(listing)
+        else:
             hosts.append(listing)
     covers_relisting = is_from_start or covers_relisting_time(changes, listed)
-    return VanishedHosts(hosts, unlocated, covers_relisting)
+    return VanishedHosts(hosts, leaving, unlocated, covers_relisting)
 
 
 def find_last_entries(
@@ -263,13 +270,16 @@
         vanished = self.evaluate()
         for listing in vanished.hosts:
             self.directory.record_vanished(listing)
+        for listing in vanished.leaving:
+            self.directory.record_vanished(listing, was_draining=True)
         LOGGER.info(
             "event=history_read after={} revision={} changes={} absent={}"
-            " unknown={} complete={}",
+            " leaving={} unknown={} complete={}",
             after,
             revision,
             len(self.changes),
             ",".join(listing.name for listing in vanished.hosts),
+            ",".join(listing.name for listing in vanished.leaving),
             ",".join(vanished.unlocated),
             follower.is_proven_complete,
         )
@@ -296,11 +306,13 @@
         taken_over = sum(
             m.took_over_address and m.takes_new_work for m in present
         )
+        has_restarted = is_full_restart(
+            self.changes, listed, taken_over, vanished.unlocated
+        )
+        if has_restarted:
+            self.directory.hasten_leaving()
         self.follower.is_proven_complete = (
-            vanished.are_all_known
-            or is_full_restart(
-                self.changes, listed, taken_over, vanished.unlocated
-            )
+            vanished.are_all_known or has_restarted
         )
         return vanished
 
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -85,6 +85,16 @@
 """Packets of one flow whose copies are recognised; twice the number that
 callers have in flight."""
 
+LEAVING_PROBE_SECONDS = 0.25
+"""Interval between two probes of a leaving target."""
+
+MAX_UNANSWERED_PROBES = 6
+"""Probes in a row without an answer after which a leaving target has ended:
+1.5 s, more than an agent takes to restart."""
+
+PROBES_AFTER_RESTART = 2
+"""Unanswered probes that suffice if all hosts have just restarted."""
+
 SUSPENSION_SECONDS = 0.5
 """First time for which an unresponsive target is suspended; about as long as
 an agent takes to restart."""
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -51,8 +51,12 @@
     held : HeldPackets
         Packets of the flows whose owners are searched for.
     undecided : dict of bytes to Segment
-        Last packet of each flow that no known target holds and that can't be
-        reset yet, since a live target may be missing in the list.
+        Last packet of each flow that no listed target holds and that can't
+        be reset yet, since a live target may be missing in the list or a
+        leaving one may still answer.
+    last_changes : tuple of (int, bool)
+        What was known of the targets when these flows were last looked at:
+        the number of changes of the list, and whether it was complete.
     """
 
     __slots__ = (
@@ -64,6 +68,7 @@
         "history",
         "held",
         "undecided",
+        "last_changes",
     )
 
     def __init__(
@@ -82,6 +87,7 @@
         self.history = history
         self.held = HeldPackets()
         self.undecided: OrderedDict[bytes, Segment] = OrderedDict()
+        self.last_changes = (0, False)
 
     def begin(self, segment: Segment) -> SteeredFlow | None:
         """Start the search for the owner of an open flow.
@@ -188,7 +194,12 @@
         self.ask(state, segment, state.candidates or [state.agent])
 
     def send_to_owner(self, state: SteeredFlow, segment: Segment) -> None:
-        """Send a packet to the confirmed owner."""
+        """Send a packet to the confirmed owner, unless its host has ended."""
+        if self.directory.has_ended(state.agent):
+            self.reset(segment, "its host has ended")
+            return
+        if self.directory.is_leaving(state.agent):
+            self.keep_undecided(segment)
         self.output.count("forwarded")
         self.output.deliver(state, segment.raw, [state.agent])
 
@@ -209,6 +220,8 @@
         self.held.set_probe(segment)
         if all(map(self.health.is_suspended, agents)):
             self.parked.put_data(segment, state)
+        if self.depends_on_leaving(state):
+            self.keep_undecided(segment)
         self.output.count("forwarded")
         self.output.deliver(state, segment.raw, agents, asks_owner=True)
 
@@ -347,17 +360,68 @@
         if len(self.undecided) > MAX_PARKED:
             self.undecided.popitem(last=False)
 
+    def depends_on_leaving(self, state: SteeredFlow) -> bool:
+        """Tell whether only leaving targets may still hold a flow."""
+        agents = state.candidates or [state.agent]
+        return all(map(self.directory.is_leaving, agents))
+
     def retry_undecided(self) -> None:
-        """Resume or reset undecided flows once the list is complete."""
-        if not self.undecided:
-            return
-        if not self.output.follower.knows_all_targets():
+        """Resume or reset undecided flows whose owners are known better.
+
+        That is so once the list of targets is complete or has changed, which
+        includes that leaving targets proved to have ended.
+        """
+        is_complete = self.output.follower.knows_all_targets()
+        changes = (self.directory.changes, is_complete)
+        if self.undecided and not is_complete:
             self.history.request_check()
+        if changes == self.last_changes:
             return
-        undecided, self.undecided = self.undecided, OrderedDict()
-        for flow, segment in undecided.items():
-            state = self.output.flows.find(flow)
-            if state is None or not state.is_open or state.is_confirmed:
-                continue
-            if not state.candidates:
-                self.ask_next(state, segment, state.agent)
+        self.last_changes = changes
+        for flow, segment in list(self.undecided.items()):
+            # FlowCache.find would keep the idle flow from being dropped.
+            state = self.output.flows.flows.get(flow)
+            if state is None or not state.is_open:
+                del self.undecided[flow]
+            elif state.is_confirmed:
+                self.retry_confirmed(state, segment)
+            else:
+                self.retry(state, segment, is_complete)
+
+    def retry_confirmed(self, state: SteeredFlow, segment: Segment) -> None:
+        """Reset a flow if its leaving host has ended."""
+        if self.directory.has_ended(state.agent):
+            self.reset(segment, "its host has ended")
+        elif not self.directory.is_leaving(state.agent):
+            del self.undecided[state.flow]
+
+    def retry(
+        self, state: SteeredFlow, segment: Segment, is_complete: bool
+    ) -> None:
+        """Resume or reset one undecided flow, if its owner is known better.
+
+        Parameters
+        ----------
+        state : SteeredFlow
+            The flow.
+        segment : Segment
+            Its last packet.
+        is_complete : bool
+            Whether every live target is known.
+        """
+        was_asked = bool(state.candidates)
+        self.drop_gone_candidates(state)
+        if state.candidates:
+            return
+        if self.add_and_ask(state, segment, state.agent):
+            if not self.depends_on_leaving(state):
+                self.undecided.pop(state.flow, None)
+        elif is_complete or was_asked:
+            self.give_up(state, segment)
+
+    def drop_gone_candidates(self, state: SteeredFlow) -> None:
+        """Remove the candidates that are no longer known as targets."""
+        for agent in list(state.candidates):
+            if not self.directory.is_known(agent.host):
+                state.drop_candidate(agent)
+                state.non_owners.append(agent)
