Take no host for the owner that the caller did not choose

Cause: a balancer that was told of an acceptance took that host for the owner without a look at what the caller acknowledged, unless it had offered the flow twice itself. When that host returned the flow, the owner counted as lost, and the flow was reset without waiting for a complete list of targets.

The acceptance now confirms the owner only if the caller acknowledged it; otherwise further targets are asked at once.

--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -282,35 +282,35 @@
         state.declined.append(member)
         self.place(state, segment)
 
-    def complete_opening(self, state: SteeredFlow, segment: Segment) -> None:
+    def complete_opening(self, state: SteeredFlow, segment: Segment) -> bool:
         """Mark a flow open on the first packet after its opening.
 
         The flow stays with the host whose acceptance the caller took.
+
+        Returns
+        -------
+        bool
+            False if that is none of the hosts that reported an acceptance:
+            its report was lost, or the caller took a host to which another
+            balancer had offered the flow.
         """
         state.is_open = True
         state.acknowledged = segment.acknowledged
         state.stop_timer()
-        if len(state.tried) > 1 and state.accepted:
-            self.apply_caller_choice(state, segment)
+        accepted = dict(state.accepted)
         state.accepted.clear()
         state.declined.clear()
-
-    def apply_caller_choice(
-        self, state: SteeredFlow, segment: Segment
-    ) -> None:
-        """Switch to the host whose sequence number the caller acknowledged."""
-        for sequence, agent in state.accepted.items():
+        if not accepted:
+            return True
+        for sequence, agent in accepted.items():
             if is_acknowledged(state, sequence):
-                state.agent = agent
-                return
-        # The report of the host that the caller took was lost, so it is one
-        # of the agents that were tried and sent no report.
-        known = state.accepted.values()
-        for agent in state.tried:
-            if agent not in known:
-                state.agent = agent
-                state.is_confirmed = False
-                return
+                state.record_owner(agent)
+                return True
+        state.is_confirmed = False
+        silent = [a for a in state.tried if a not in accepted.values()]
+        if silent:
+            state.agent = silent[0]
+        return False
 
     def find_with_room(self, agent: Address) -> Member | None:
         """Return the target of an agent if it may accept another flow."""
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -76,7 +76,8 @@
                 return
         elif not state.is_open:
             self.search.forget(segment.flow)
-            self.placer.complete_opening(state, segment)
+            if not self.placer.complete_opening(state, segment):
+                self.search.widen(state, "the caller took another host")
         self.search.forward(state, segment)
 
     def handle_report(self, body: bytes, source: Address) -> None:
