--- a/tests/soak/testbed.py
+++ b/tests/soak/testbed.py
@@ -44,6 +44,9 @@
 POLL_SECONDS = 0.2
 LAPSE_SECONDS = 3.2
 REUSE_SECONDS = 2.0
+UNLISTED_SECONDS = 2.0
+"""Time for which a drained host serves its flows after its entry is gone."""
+
 STORM = 8
 FIRST_PORT = 20_000
 
@@ -285,6 +288,8 @@
         self.promises.draining[host.name] = self.promises.now
         self.list_host(host, "draining")
         await sleep(DRAIN_SECONDS + step.seconds)
+        self.unlist_host(host)
+        await sleep(UNLISTED_SECONDS)
         service = choose_service(host)
         del self.hosts[host.place]
         self.gone.append(host)
