Read the era of the store with each answer

The platform tells since the drill that its store may come back from a copy some seconds old: what it acknowledged since is gone, revisions are given out again, and the header Store-Era rises by one. The adapter read no header, so two states of the store could not be told apart, not even between two pages of one read.

HttpResponse has the headers, and Changes, also those of read_changes, the era. An answer without the header is of era 0; a value that is no whole number is a StoreError, and so are pages of two eras, or of a falling revision, in one read, so that everything is read anew.

The stand-ins can be restored.

--- a/chicorycart/links/http.py
+++ b/chicorycart/links/http.py
@@ -1,5 +1,7 @@
 """HTTP client of the daemons, with a timeout and failover."""
 
+from collections.abc import Mapping
+
 from tornado.httpclient import AsyncHTTPClient
 from tornado.httpclient import HTTPClientError
 
@@ -15,13 +17,16 @@
         Status code.
     body : bytes
         Complete body.
+    headers : Mapping of str to str
+        Headers; their names are compared without regard to case.
     """
 
-    __slots__ = ("status", "body")
+    __slots__ = ("status", "body", "headers")
 
-    def __init__(self, status: int, body: bytes):
+    def __init__(self, status: int, body: bytes, headers: Mapping[str, str]):
         self.status = status
         self.body = body
+        self.headers = headers
 
 
 class HttpClient:
@@ -69,7 +74,7 @@
         if response.code >= 500 and response.error is not None:
             self.rotate_bases()
             raise LinkError(f"{base}{path}: GET failed: {response.error}")
-        return HttpResponse(response.code, response.body)
+        return HttpResponse(response.code, response.body, response.headers)
 
     def rotate_bases(self) -> None:
         """Move the first base address to the end."""
--- a/chicorycart/platform/store.py
+++ b/chicorycart/platform/store.py
@@ -2,7 +2,9 @@
 
 from base64 import b64decode
 from binascii import Error as Base64Error
+from collections.abc import Mapping
 from json import loads
+import re
 from typing import Any
 from urllib.parse import urlencode
 
@@ -24,6 +26,32 @@
 SHORTEST_WAIT_MS = 1
 """Wait time of a watch that asks only for past events."""
 
+ERA_HEADER = "Store-Era"
+ERA_FORMAT = re.compile("[0-9]{1,18}")
+NO_ERA = 0
+"""Era of a store that names none."""
+
+
+class Page:
+    """One answer of the store.
+
+    Attributes
+    ----------
+    era : int
+        Number of the store's era.
+    revision : int
+        The store's revision at the time of the answer.
+    content : dict of str to Any
+        The JSON object of the body.
+    """
+
+    __slots__ = ("era", "revision", "content")
+
+    def __init__(self, era: int, content: dict[str, Any]):
+        self.era = era
+        self.revision = read_revision(content)
+        self.content = content
+
 
 class MetadataStore:
     """Reads and watches the platform's store.
@@ -44,17 +72,27 @@
 
         The result has the first page's revision, so that a watch after it
         returns changes made while later pages were read.
+
+        Raises
+        ------
+        StoreError
+            If a call failed, or the store was restored between two pages.
         """
-        page = await self.call(
+        first = page = await self.call(
             "/kv-range", {"prefix": ALL_KEYS}, answer_seconds
         )
-        revision = read_revision(page)
         items = read_items(page, "items")
-        while page.get("hasMore") and items:
+        while page.content.get("hasMore") and items:
             query = {"prefix": ALL_KEYS, "after": items[-1]["key"]}
             page = await self.call("/kv-range", query, answer_seconds)
+            if page.era != first.era or page.revision < first.revision:
+                raise StoreError(
+                    "/kv-range: pages of two states of the store: era"
+                    f" {first.era} at revision {first.revision}, then era"
+                    f" {page.era} at revision {page.revision}"
+                )
             items += read_items(page, "items")
-        return decode_changes(revision, items)
+        return decode_changes(first, items)
 
     async def watch(
         self, after: int, seconds: float, answer_seconds: float
@@ -66,11 +104,9 @@
             "waitMs": round(seconds * 1000),
         }
         page = await self.call("/kv-watch", query, seconds + answer_seconds)
-        return decode_changes(read_revision(page), read_items(page, "events"))
+        return decode_changes(page, read_items(page, "events"))
 
-    async def read_changes(
-        self, after: int, answer_seconds: float
-    ) -> list[ListingChange]:
+    async def read_changes(self, after: int, answer_seconds: float) -> Changes:
         """Return the changes of hosts' entries after a revision, in order."""
         query = {
             "prefix": SERVER_PREFIX,
@@ -78,19 +114,20 @@
             "waitMs": SHORTEST_WAIT_MS,
         }
         page = await self.call("/kv-watch", query, answer_seconds)
-        return [decode_listing(item) for item in read_items(page, "events")]
+        return decode_changes(page, read_items(page, "events"))
 
     async def call(
         self, path: str, query: dict[str, Any], seconds: float
-    ) -> dict[str, Any]:
-        """Send one GET request and return the JSON object of its answer.
+    ) -> Page:
+        """Send one GET request and return its answer.
 
         Raises
         ------
         HistoryLostError
             If the store has discarded the history that was asked for.
         StoreError
-            If the call failed or the answer is not a JSON object.
+            If the call failed or the answer is not a JSON object with the
+            revision of the store, or names an invalid era.
         """
         try:
             answer = await self.source.get(
@@ -107,23 +144,35 @@
                 f"{path}: expected status 200, found {answer.status}"
             )
         try:
-            page = loads(answer.body)
+            content = loads(answer.body)
         except ValueError as error:
             raise StoreError(f"{path}: not JSON: {error}") from error
-        if not isinstance(page, dict):
+        if not isinstance(content, dict):
             raise StoreError(f"{path}: expected a JSON object")
-        return page
+        return Page(read_era(answer.headers), content)
+
+
+def read_era(headers: Mapping[str, str]) -> int:
+    """Return the number of the store's era that an answer names."""
+    text = headers.get(ERA_HEADER)
+    if text is None:
+        return NO_ERA
+    if ERA_FORMAT.fullmatch(text) is None:
+        raise StoreError(
+            f"{ERA_HEADER}: expected a whole number, found {text!r}"
+        )
+    return int(text)
 
 
-def read_revision(page: dict[str, Any]) -> int:
+def read_revision(content: dict[str, Any]) -> int:
     """Return the store's revision at the time of an answer."""
-    revision = page.get("currentRev")
+    revision = content.get("currentRev")
     if type(revision) is not int:
         raise StoreError("currentRev: missing or not an integer")
     return revision
 
 
-def read_items(page: dict[str, Any], field: str) -> list[dict[str, Any]]:
+def read_items(page: Page, field: str) -> list[dict[str, Any]]:
     """Return the items or events of an answer.
 
     Raises
@@ -131,7 +180,7 @@
     StoreError
         If the list is missing or an item has no key or revision.
     """
-    items = page.get(field)
+    items = page.content.get(field)
     if not isinstance(items, list) or not all(map(is_item, items)):
         raise StoreError(
             f"{field}: expected a list of items with key and revision"
@@ -148,7 +197,7 @@
     )
 
 
-def decode_changes(revision: int, items: list[dict[str, Any]]) -> Changes:
+def decode_changes(page: Page, items: list[dict[str, Any]]) -> Changes:
     """Decode items or events of the store."""
     listings = []
     routes = None
@@ -163,7 +212,7 @@
                 fault = ""
             except StoreError as error:
                 fault = str(error)
-    return Changes(revision, listings, routes, fault)
+    return Changes(page.era, page.revision, listings, routes, fault)
 
 
 def decode_listing(item: dict[str, Any]) -> ListingChange:
--- a/chicorycart/steering/history.py
+++ b/chicorycart/steering/history.py
@@ -333,10 +333,10 @@
             step *= STEP_GROWTH
             self.follower.calls += 1
             try:
-                changes = await self.store.read_changes(
+                found = await self.store.read_changes(
                     after, self.follower.answer_seconds
                 )
-                available = after
+                available, changes = after, found.listings
             except HistoryLostError:
                 discarded = after
         return available, changes
--- a/chicorycart/steering/published.py
+++ b/chicorycart/steering/published.py
@@ -107,6 +107,9 @@
 
     Attributes
     ----------
+    era : int
+        Number of the store's era, which changes when the store is restored
+        from a copy. Revisions of different eras cannot be compared.
     revision : int
         Revision after which the next watch begins.
     listings : list of ListingChange
@@ -117,15 +120,17 @@
         Why the configuration cannot be decoded; empty if it can.
     """
 
-    __slots__ = ("revision", "listings", "routes", "fault")
+    __slots__ = ("era", "revision", "listings", "routes", "fault")
 
     def __init__(
         self,
+        era: int,
         revision: int,
         listings: list[ListingChange],
         routes: RouteTable | None,
         fault: str = "",
     ):
+        self.era = era
         self.revision = revision
         self.listings = listings
         self.routes = routes
@@ -171,9 +176,7 @@
             If the call failed or its answer is not of the documented form.
         """
 
-    async def read_changes(
-        self, after: int, answer_seconds: float
-    ) -> list[ListingChange]:
+    async def read_changes(self, after: int, answer_seconds: float) -> Changes:
         """Return the changes of hosts' entries after a revision, in order.
 
         Parameters
--- a/tests/platform_adapter/store.feature
+++ b/tests/platform_adapter/store.feature
@@ -65,3 +65,34 @@
     Then it has the first entry, the drain and the removal
     When the history is discarded and the client reads past changes
     Then the history is lost
+
+  Scenario: Each answer names the era of the store
+    When the store is restored from a copy made before a host drained
+    Then a read, a watch and past changes are of era 2 and the copy's revision
+
+  Scenario: A watch from a revision that the restored store does not have is refused
+    When the store is restored from a copy made before a host drained
+    And the client watches from the revision of the drain
+    Then the client reports that the history is lost
+
+  Scenario: A store that names no era is of era 0
+    When the store names no era
+    And the client reads everything
+    Then the read is of era 0
+
+  # Pages before and after a restore would make a list that never existed.
+  Scenario: Pages of two eras are not taken for one read
+    When the store is restored after the first of two pages
+    Then the client reports that the store failed
+
+  Scenario Outline: An invalid era is an error
+    When the store names the era "<era>"
+    Then the client reports that the store failed
+
+    Examples:
+      | era                 |
+      | next                |
+      | 1.5                 |
+      | -1                  |
+      | 1, 2                |
+      | 9999999999999999999 |
--- a/tests/platform_adapter/store_steps.py
+++ b/tests/platform_adapter/store_steps.py
@@ -216,7 +216,8 @@
 def read_after_changes(context):
     context.store.put("servers/i-2", encode(make_entry(2, state="draining")))
     context.store.remove("servers/i-3")
-    context.past_changes = {c.name: c for c in read_changes(context)}
+    changes = read_changes(context)
+    context.past_changes = {c.name: c for c in changes.listings}
 
 
 @then("it has the first entry, the drain and the removal")
@@ -241,3 +242,56 @@
 @then("the history is lost")
 def check_lost(context):
     assert isinstance(context.error, HistoryLostError)
+
+
+@when("the store is restored from a copy made before a host drained")
+def restore(context):
+    copy = context.store.copy_state()
+    context.copied_revision = context.store.revision
+    context.store.put("servers/i-2", encode(make_entry(2, state="draining")))
+    context.store.restore(copy)
+
+
+@then("a read, a watch and past changes are of era 2 and the copy's revision")
+def check_eras(context):
+    async def call():
+        client = context.client
+        before = context.copied_revision - 1
+        return [
+            await client.read_all(0.5),
+            await client.watch(before, 1.0, 0.5),
+            await client.read_changes(before, 0.5),
+        ]
+
+    for changes in context.run(call()):
+        assert changes.era == 2, changes.era
+        assert changes.revision == context.copied_revision, changes.revision
+
+
+@when("the client watches from the revision of the drain")
+def watch_lost(context):
+    after = context.copied_revision + 1
+    run_call(context, lambda: context.client.watch(after, 1.0, 0.5))
+
+
+@when("the store names no era")
+def leave_out_era(context):
+    context.store.era = None
+
+
+@then("the read is of era 0")
+def check_no_era(context):
+    assert context.changes.era == 0, context.changes.era
+
+
+@when("the store is restored after the first of two pages")
+def restore_between_pages(context):
+    context.store.page = 2
+    context.store.restored_after = 1
+    run_call(context, lambda: context.client.read_all(0.5))
+
+
+@when('the store names the era "{era}"')
+def name_era(context, era):
+    context.store.era = era
+    run_call(context, lambda: context.client.read_all(0.5))
--- a/tests/standins/kv.py
+++ b/tests/standins/kv.py
@@ -52,9 +52,19 @@
 
 
 class StandInStore:
-    """Items by key over HTTP, with faults."""
+    """Items by key over HTTP, with faults.
+
+    Attributes
+    ----------
+    era : str or None
+        Value of the header that names the era; None to leave it out.
+    restored_after : int
+        Answers after which the store is restored from a copy.
+    """
 
     def __init__(self):
+        self.era = "1"
+        self.restored_after = 0
         self.items = {}
         self.revision = 0
         self.page = 500
@@ -88,6 +98,24 @@
         for key in [k for k, i in self.items.items() if i.get("tombstone")]:
             del self.items[key]
 
+    def copy_state(self):
+        """Return a copy to restore the store from."""
+        return self.revision, dict(self.items)
+
+    def restore(self, state):
+        """Come back from a copy; what was written since is gone."""
+        self.era = str(int(self.era) + 1)
+        self.revision, items = state
+        self.items = dict(items)
+        self.kept_since = min(self.kept_since, self.revision)
+
+    def note_answer(self):
+        """Restore the store to its present state after some answers."""
+        if self.restored_after:
+            self.restored_after -= 1
+            if not self.restored_after:
+                self.restore(self.copy_state())
+
     def read_page(self, prefix, after):
         """Return one page of items."""
         keys = sorted(
@@ -116,16 +144,19 @@
         store = self.store
         await store.answering.wait()
         self.set_status(store.status)
+        if store.era is not None:
+            self.set_header("Store-Era", store.era)
         prefix = self.get_query_argument("prefix")
         after = self.get_query_argument("after", "")
         if call == "range":
             self.finish(store.read_page(prefix, after))
+            store.note_answer()
             return
         if store.watch_status != OK:
             self.set_status(store.watch_status)
             self.finish({})
             return
-        if int(after) < store.kept_since:
+        if not store.kept_since <= int(after) <= store.revision:
             self.set_status(GONE)
             self.finish({})
             return
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -18,6 +18,10 @@
 
     Attributes
     ----------
+    era, era_step : int
+        Number of the era, and what each restore adds to it.
+    has_eras : bool
+        Whether its answers name the era.
     is_down : bool
         Whether every call fails.
     is_silent : bool
@@ -29,6 +33,9 @@
     """
 
     def __init__(self):
+        self.era = 1
+        self.era_step = 1
+        self.has_eras = True
         self.revision = 1
         self.entries = {}
         self.routes = None
@@ -80,6 +87,30 @@
         self.changed.set()
         self.changed = Event()
 
+    def copy_state(self):
+        """Return a copy to restore the store from."""
+        return self.revision, dict(self.entries), self.routes
+
+    def restore(self, state, keeps_history=False):
+        """Come back from a copy; what was written since is gone."""
+        self.era += self.era_step
+        self.revision, entries, self.routes = state
+        self.entries = dict(entries)
+        self.history = [
+            (revision, change)
+            for revision, change in self.history
+            if keeps_history and revision <= self.revision
+        ]
+        if not keeps_history:
+            self.kept_since = self.revision
+        self.changed.set()
+        self.changed = Event()
+
+    def make_changes(self, listings, routes):
+        """Return an answer with the position of the store."""
+        era = self.era if self.has_eras else 0
+        return Changes(era, self.revision, listings, routes)
+
     async def answer(self, limit):
         """Take the time of a call, or fail."""
         self.calls += 1
@@ -92,8 +123,7 @@
     async def read_all(self, answer_seconds):
         """Read everything."""
         await self.answer(answer_seconds)
-        return Changes(
-            self.revision,
+        return self.make_changes(
             list(self.entries.values()),
             self.routes[1] if self.routes else None,
         )
@@ -101,23 +131,25 @@
     async def watch(self, after, seconds, answer_seconds):
         """Wait for changes above a revision."""
         await self.answer(seconds + answer_seconds)
-        if after < self.kept_since:
-            raise HistoryLostError("history is discarded")
+        self.check_history(after)
+        era = self.era
         try:
             async with timeout(seconds):
-                while self.revision <= after or self.is_silent:
+                while self.era == era and (
+                    self.revision <= after or self.is_silent
+                ):
                     await self.changed.wait()
         except TimeoutError:
             if self.is_silent:
                 raise StoreError("no answer") from None
-        if after < self.kept_since:
-            raise HistoryLostError("history is discarded")
+        if self.era != era:
+            raise StoreError("the connection was cut")
+        self.check_history(after)
         if self.is_down:
             raise StoreError("the store is down")
         changes = [c for r, c in self.history if r > after]
         routes = [c for c in changes if not isinstance(c, ListingChange)]
-        return Changes(
-            self.revision,
+        return self.make_changes(
             [c for c in changes if isinstance(c, ListingChange)],
             routes[-1] if routes else None,
         )
@@ -126,10 +158,15 @@
         """Return the changes of entries above a revision."""
         self.recalls += 1
         await self.answer(answer_seconds)
-        if after < self.kept_since:
-            raise HistoryLostError("history is discarded")
-        return [
+        self.check_history(after)
+        changes = [
             change
             for revision, change in self.history
             if revision > after and isinstance(change, ListingChange)
         ]
+        return self.make_changes(changes, None)
+
+    def check_history(self, after):
+        """Fail if the store does not have all changes after a revision."""
+        if not self.kept_since <= after <= self.revision:
+            raise HistoryLostError("history is discarded")
