Follow the store by era and revision, and read it anew after a restore

The follower's revision only went up. After the store had come back from a copy it counted on from a lower revision; each watch got 410 and everything was read, over and over, until the counter reached the former revision. The change that got just that revision was in no answer: the watch after it waited for the next one. Had the counter passed the former revision before a balancer called again, it would have gone on without any 410 and missed every change below.

Entries were refused for the same reason: the directory compares the revision of an entry with the known one.

The position is now an era and a revision. An answer to a watch of another era is not applied; everything is read anew and the position replaced, also after a 410 and where a store without eras shows a lower revision. Any other era counts, also a lower one: the store is linearizable and calls follow one another, so no answer is older than the one before, and to wait for the era to rise would be the same fault again. After a restore the known revisions order nothing; an entry of an earlier start of a known host stays refused, and the host lapses unless it is listed again. Versions of the configuration never decrease in a process, as before.

The new event store_restored names both positions. A whole read of a restored store makes the list count as incomplete until its history was read again.

--- a/chicorycart/steering/balancer.py
+++ b/chicorycart/steering/balancer.py
@@ -186,6 +186,7 @@
             "role": "balancer",
             "ready": self.is_ready(),
             "version": follower.routes.current.version,
+            "era": follower.era,
             "revision": follower.revision,
             "store_away": follower.unreachable_since is not None,
             "flows": len(self.flows),
--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -138,9 +138,29 @@
         self.flow_ttl_seconds = flow_ttl_seconds
         self.vanished: dict[Address, VanishedTarget] = {}
 
-    def replace(self, changes: list[ListingChange], revision: int) -> None:
-        """Apply a full read; targets missing from it have vanished."""
+    def replace(
+        self,
+        changes: list[ListingChange],
+        revision: int,
+        is_restored: bool = False,
+    ) -> None:
+        """Apply a full read; targets missing from it have vanished.
+
+        Parameters
+        ----------
+        changes : list of ListingChange
+            All entries.
+        revision : int
+            Revision of the store at the read.
+        is_restored : bool, optional
+            Whether the store was restored from a copy since the last read.
+            The known revisions then order nothing any more.
+        """
         self.removed_revisions.clear()
+        if is_restored:
+            for member in self.members.values():
+                member.revision = 0
+            changes = [c for c in changes if not self.is_outdated(c)]
         present = {change.name for change in changes}
         for change in changes:
             self.apply(change)
@@ -162,6 +182,15 @@
         else:
             self.put(change.listing, change.revision)
 
+    def is_outdated(self, change: ListingChange) -> bool:
+        """Tell whether an entry is of an earlier start than the known one."""
+        known = self.members.get(change.name)
+        return (
+            known is not None
+            and change.listing is not None
+            and 0 < change.listing.incarnation < known.listing.incarnation
+        )
+
     def put(self, listing: Listing, revision: int) -> None:
         """Add a target, or replace it by its changed entry."""
         other = self.by_agent_host.get(listing.address.host)
--- a/chicorycart/steering/errors.py
+++ b/chicorycart/steering/errors.py
@@ -13,3 +13,7 @@
 
 class HistoryLostError(StoreError):
     """The store has discarded changes after the requested revision."""
+
+
+class StoreRestoredError(StoreError):
+    """The store answers from another era than the one followed."""
--- a/chicorycart/steering/follow.py
+++ b/chicorycart/steering/follow.py
@@ -10,6 +10,7 @@
 from chicorycart.steering.directory import Directory
 from chicorycart.steering.errors import HistoryLostError
 from chicorycart.steering.errors import StoreError
+from chicorycart.steering.errors import StoreRestoredError
 from chicorycart.steering.limits import ANSWER_SECONDS
 from chicorycart.steering.limits import GATHER_SECONDS
 from chicorycart.steering.limits import MAX_ANSWER_SECONDS
@@ -21,6 +22,8 @@
 from chicorycart.steering.routes import RouteTable
 
 LOGGER = Logger("store")
+FIRST_ERA = 1
+"""Era of a store that was never restored from a copy."""
 
 
 class RoutesInForce:
@@ -53,6 +56,11 @@
 class StoreFollower:
     """Applies the store's entries to the directory and the routes.
 
+    A store that was restored from a copy gives out revisions anew. So a
+    position is an era and a revision, and after a change of the era, in either
+    direction, everything is read anew. Calls follow one another, so no answer
+    is older than the one before.
+
     Parameters
     ----------
     store : PublishedStore
@@ -70,6 +78,11 @@
 
     Attributes
     ----------
+    era, revision : int
+        Position in the store up to which all changes were read.
+    restored_at : float or None
+        Time at which the last restore of the store was noticed, or of the
+        first answer of a store that had been restored before.
     loaded : Event
         Set once the targets and a configuration were read.
     unreachable_since : float or None
@@ -95,7 +108,9 @@
         "clock",
         "watch_seconds",
         "answer_seconds",
+        "era",
         "revision",
+        "restored_at",
         "can_watch",
         "unreachable_since",
         "last_contact_at",
@@ -123,7 +138,9 @@
         self.clock = clock
         self.watch_seconds = watch_seconds
         self.answer_seconds = ANSWER_SECONDS
+        self.era = 0
         self.revision = 0
+        self.restored_at: float | None = None
         self.can_watch = False
         self.unreachable_since: float | None = None
         self.last_contact_at: float | None = None
@@ -139,10 +156,11 @@
         while True:
             try:
                 await self.read_once()
-            except HistoryLostError as error:
+            except (HistoryLostError, StoreRestoredError) as error:
                 self.can_watch = False
                 LOGGER.warning(
-                    "event=history_lost revision={} reason={!r}",
+                    "event=history_lost era={} revision={} reason={!r}",
+                    self.era,
                     self.revision,
                     str(error),
                 )
@@ -157,11 +175,24 @@
             changes = await self.store.watch(
                 self.revision, self.watch_seconds, self.answer_seconds
             )
+            if self.is_restored(changes):
+                raise StoreRestoredError(
+                    f"watched era {self.era}, found era {changes.era} at"
+                    f" revision {changes.revision}"
+                )
             for change in changes.listings:
                 self.directory.apply(change)
         else:
             changes = await self.store.read_all(self.answer_seconds)
-            self.directory.replace(changes.listings, changes.revision)
+            is_restored = self.is_restored(changes)
+            if is_restored:
+                self.record_restore(changes)
+            elif self.last_contact_at is None and changes.era > FIRST_ERA:
+                # It may have been restored just before this process started.
+                self.restored_at = self.clock.now()
+            self.directory.replace(
+                changes.listings, changes.revision, is_restored
+            )
             # Before the operator's first write there is no configuration to
             # watch, so everything is read again each time.
             self.can_watch = (
@@ -169,11 +200,21 @@
             )
         self.record_contact()
         self.activate_routes(changes)
-        self.revision = max(self.revision, changes.revision)
+        self.era = changes.era
+        self.revision = changes.revision
         if self.routes.current.version > 0:
             self.loaded.set()
         await sleep(GATHER_SECONDS)
 
+    def is_restored(self, changes: Changes) -> bool:
+        """Tell whether an answer is of a store restored since the last one.
+
+        A store without eras shows it by a lower revision.
+        """
+        return self.last_contact_at is not None and (
+            changes.era != self.era or changes.revision < self.revision
+        )
+
     def activate_routes(self, changes: Changes) -> None:
         """Put the routes that were read in force, or log why they are not."""
         if changes.fault:
@@ -219,6 +260,28 @@
                 self.revision,
             )
 
+    def record_restore(self, changes: Changes) -> None:
+        """Record that the store was restored from a copy.
+
+        Writes of the time since the copy are in no history.
+        """
+        LOGGER.warning(
+            "event=store_restored era={} before={} revision={}"
+            " before_revision={}",
+            changes.era,
+            self.era,
+            changes.revision,
+            self.revision,
+        )
+        self.restored_at = self.reachable_since = self.clock.now()
+        self.is_history_checked = self.is_proven_complete = False
+
+    def is_relisting(self) -> bool:
+        """Tell whether entries that a restore lost may still be missing."""
+        return self.restored_at is not None and (
+            self.clock.now() - self.restored_at <= RELISTING_SECONDS
+        )
+
     def record_contact(self) -> None:
         """Record an answer of the store and reset the delays of retries."""
         now = self.clock.now()
--- a/tests/steering/targets.feature
+++ b/tests/steering/targets.feature
@@ -89,3 +89,35 @@
     Given a fleet of 2 hosts and 1 balancers
     When the removal of 5000 hosts is read
     Then the balancer remembers at most 4096 removed names
+
+  # The change that used up the former revision was in no answer to a watch.
+  Scenario Outline: A change that gets the revision of a lost one comes into force: <case>
+    Given a fleet of 3 hosts and 2 balancers
+    When the store is restored from a copy that lacks version 4, and its era <changes>
+    And version 5 is published at the revision that version 4 had
+    Then version 5 is in force within 1 s
+    And host "h2" drains and is draining within 1 s
+
+    Examples:
+      | case                | changes       |
+      | the era rises       | rises         |
+      | the era falls       | falls         |
+      | no era is published | is never told |
+
+  # The watch went on from a revision that was given out twice.
+  Scenario: Changes below the followed revision are read although the restored store has passed it
+    Given a fleet of 3 hosts and 2 balancers
+    When the store is restored from a copy and passes its former revision before it answers
+    Then version 5 is in force within 1 s and "h2" is draining
+
+  # The entry of the copy had a lower revision than the lost one.
+  Scenario: An entry that only the lost writes changed is as the restored store has it
+    Given a fleet of 3 hosts and 2 balancers
+    When "h2" is written with 9 slots and the store is restored from a copy with 2
+    Then "h2" has 2 slots
+
+  # The copy lists the start before the last one.
+  Scenario: A host that started again is not taken for its former start in a restored store
+    Given a fleet of 3 hosts and 2 balancers
+    When host "h1" starts again at another address and the store is restored from a copy made before
+    Then the target "h1" is the one of the later start
--- a/tests/steering/targets_steps.py
+++ b/tests/steering/targets_steps.py
@@ -220,11 +220,12 @@
     context.fleet.store.is_silent = False
 
 
+@then("version {version:d} is in force within {seconds:d} s")
 @then("version {version:d} is in force within {seconds:d} s after that")
 def check_in_force(context, version, seconds):
     wait(context, seconds)
-    follower = context.fleet.balancers[BALANCER].follower
-    assert follower.routes.current.version == version
+    for balancer in context.fleet.balancers.values():
+        assert balancer.follower.routes.current.version == version
 
 
 @when("{seconds:d} s pass without a change")
@@ -233,6 +234,184 @@
     wait(context, seconds)
 
 
+def restore(context, change):
+    """Change what is published, and restore the store from a copy."""
+    wait(context, 1.0)
+    fleet = context.fleet
+    copy = fleet.store.copy_state()
+    change()
+    wait(context, 1.0)
+    context.lost_revision = fleet.store.revision
+    fleet.store.is_down = True
+    fleet.store.restore(copy)
+    wait(context, 1.0)
+    fleet.store.is_down = False
+
+
+@when(
+    "the store is restored from a copy that lacks version {version:d}, and its"
+    " era {changes}"
+)
+def restore_without(context, version, changes):
+    store = context.fleet.store
+    if changes == "is never told":
+        store.has_eras = False
+        wait(context, 3.0)
+
+    def change():
+        context.fleet.configure(version, {ENTRY: SERVICE})
+        if changes == "falls":
+            store.era_step = -1
+
+    restore(context, change)
+    wait(context, 1.2)
+
+
+@when(
+    "version {version:d} is published at the revision that version"
+    " {lost:d} had"
+)
+def publish_again(context, version, lost):
+    store = context.fleet.store
+    context.fleet.configure(version, {ENTRY: SERVICE})
+    assert store.revision == context.lost_revision
+
+
+@then('host "{name}" drains and is draining within 1 s')
+def check_drains(context, name):
+    context.fleet.list_host(name, state=ListedState.DRAINING)
+    wait(context, 1.0)
+    check_state(context, name, ListedState.DRAINING)
+
+
+def check_state(context, name, state):
+    """Check the state of a host at every balancer."""
+    for balancer in context.fleet.balancers.values():
+        assert balancer.directory.members[name].listing.state is state
+
+
+@when(
+    "the store is restored from a copy and passes its former revision before"
+    " it answers"
+)
+def pass_revision(context):
+    fleet = context.fleet
+    wait(context, 1.0)
+    copy = fleet.store.copy_state()
+    fleet.configure(4, {ENTRY: SERVICE})
+    wait(context, 1.0)
+    fleet.store.is_down = True
+    fleet.store.restore(copy)
+    fleet.list_host("h2", state=ListedState.DRAINING)
+    fleet.configure(5, {ENTRY: SERVICE})
+    fleet.list_host("h3")
+    wait(context, 1.0)
+    fleet.store.is_down = False
+
+
+@when(
+    '"{name}" is written with {slots:d} slots and the store is restored from'
+    " a copy with {before:d}"
+)
+def restore_slots(context, name, slots, before):
+    host = context.fleet.hosts[name]
+    assert host.slots == before
+
+    def change():
+        host.slots = slots
+        context.fleet.list_host(name)
+
+    restore(context, change)
+    wait(context, 1.0)
+
+
+@then('"{name}" has {slots:d} slots')
+def check_slots(context, name, slots):
+    for balancer in context.fleet.balancers.values():
+        listing = balancer.directory.members[name].listing
+        assert listing.slots == slots, listing.slots
+
+
+def drain_host(context, name):
+    """Publish that a host drains."""
+    context.opened = len(context.fleet.hosts[name].opened)
+    context.fleet.list_host(name, state=ListedState.DRAINING)
+
+
+@when('host "{name}" drains and the store is restored from a copy made before')
+def restore_ready(context, name):
+    restore(context, lambda: drain_host(context, name))
+    wait(context, 1.0)
+
+
+@when(
+    'host "{name}" drains, leaves and the store is restored from a copy made'
+    " before"
+)
+def restore_departed(context, name):
+    def leave():
+        drain_host(context, name)
+        wait(context, 1.0)
+        context.fleet.store.remove(name)
+
+    restore(context, leave)
+    wait(context, 1.0)
+
+
+@when(
+    'host "{name}" starts again at another address and the store is restored'
+    " from a copy made before"
+)
+def restore_former_start(context, name):
+    def start_again():
+        host = context.fleet.hosts[name]
+        host.address = Address("10.2.0.99", HOST_PORT)
+        context.fleet.list_host(name, born=2)
+
+    restore(context, start_again)
+    wait(context, 1.0)
+
+
+@then('the target "{name}" is the one of the later start')
+def check_later_start(context, name):
+    for balancer in context.fleet.balancers.values():
+        listing = balancer.directory.members[name].listing
+        assert listing.incarnation == 2, listing.incarnation
+
+
+async def discard_lapsed(fleet):
+    """Let every balancer discard the targets that lapsed."""
+    for balancer in fleet.balancers.values():
+        assert len(balancer.directory.list_members(SERVICE)) == 2
+
+
+@when(
+    'the address of "{name}" goes to a younger host that ends, and the store'
+    " is restored from a copy made before"
+)
+def restore_former_host(context, name):
+    def replace():
+        fleet = context.fleet
+        host = fleet.hosts[name]
+        context.opened = len(host.opened)
+        fleet.hosts["h9"] = host
+        fleet.list_host("h9", born=2)
+        wait(context, 1.0)
+        fleet.store.remove("h9")
+        wait(context, 3.0)
+        del fleet.hosts["h9"]
+        context.run(discard_lapsed(fleet))
+
+    restore(context, replace)
+    wait(context, 1.0)
+
+
+@when("the store discards its history and 1 s goes by")
+def discard_only(context):
+    context.fleet.store.forget_history()
+    wait(context, 1.0)
+
+
 @when("1 s goes by")
 def let_second_pass(context):
     wait(context, 1.0)
