Keep a drained host from new flows when a restored store lists it as ready

A copy of the store can list as ready a host that was seen to drain since, a host that drained and left, and the former host of an address. Read anew with no revision to compare, each of them would get new flows again until it writes or its entry expires: requests that reach a host longer than agreed after it announced its drain, and 50 ms a caller for a host that is gone.

What was seen of one incarnation is firmer than a copy: a host does not go back from draining to ready, and a host that lost its address has ended. The directory remembers the last such incarnation of each name, also across whole reads and removals, as many as removed names, and takes an entry of it for a draining one. So it gets no new flows, and the flows that it may hold are still found. Only the same incarnation counts, since the clock of a host that starts again may have been set back.

--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -1,6 +1,7 @@
 """Table of each service's targets, kept up to date from the store."""
 
 from collections import OrderedDict
+from copy import copy
 
 from logbook import Logger
 
@@ -105,6 +106,10 @@
         All targets by name.
     removed_revisions : OrderedDict of str to int
         Revision of the removal of each target that was removed, by name.
+    ended_incarnations : OrderedDict of str to int
+        Last incarnation of each target that was seen to drain or lost its
+        address to another, by name. It gets no new flows any more, also if a
+        restored store lists it as ready.
     vanished : dict of Address to VanishedTarget
         Targets that vanished without draining, by the address of their agent.
     """
@@ -115,6 +120,7 @@
         "lapse_seconds",
         "members",
         "removed_revisions",
+        "ended_incarnations",
         "services",
         "by_agent_host",
         "flow_ttl_seconds",
@@ -133,6 +139,7 @@
         self.lapse_seconds = lapse_seconds
         self.members: dict[str, Member] = {}
         self.removed_revisions: OrderedDict[str, int] = OrderedDict()
+        self.ended_incarnations: OrderedDict[str, int] = OrderedDict()
         self.services: dict[str, dict[str, Member]] = {}
         self.by_agent_host: dict[str, Member] = {}
         self.flow_ttl_seconds = flow_ttl_seconds
@@ -193,6 +200,11 @@
 
     def put(self, listing: Listing, revision: int) -> None:
         """Add a target, or replace it by its changed entry."""
+        if listing.state is ListedState.DRAINING:
+            self.record_ended(listing)
+        elif self.has_ended(listing):
+            listing = copy(listing)
+            listing.state = ListedState.DRAINING
         other = self.by_agent_host.get(listing.address.host)
         if other is not None and other.listing.name != listing.name:
             if is_older(listing, revision, other):
@@ -244,6 +256,7 @@
             f"address taken over by {successor}",
         )
         self.record_removed(name, member.revision)
+        self.record_ended(member.listing)
         self.discard(member)
 
     def record_removed(self, name: str, revision: int) -> None:
@@ -253,6 +266,19 @@
         if len(self.removed_revisions) > MAX_REMOVED:
             self.removed_revisions.popitem(last=False)
 
+    def record_ended(self, listing: Listing) -> None:
+        """Remember that an incarnation of a target gets no new flows."""
+        if listing.incarnation:
+            self.ended_incarnations[listing.name] = listing.incarnation
+            self.ended_incarnations.move_to_end(listing.name)
+        if len(self.ended_incarnations) > MAX_REMOVED:
+            self.ended_incarnations.popitem(last=False)
+
+    def has_ended(self, listing: Listing) -> bool:
+        """Tell whether this incarnation of a target gets no new flows."""
+        ended = self.ended_incarnations.get(listing.name)
+        return ended is not None and ended == listing.incarnation
+
     def remove(self, name: str, revision: int, reason: str) -> None:
         """Apply the removal of an entry.
 
--- a/tests/steering/targets.feature
+++ b/tests/steering/targets.feature
@@ -90,6 +90,11 @@
     When the removal of 5000 hosts is read
     Then the balancer remembers at most 4096 removed names
 
+  Scenario: The number of drained targets that a balancer remembers is limited
+    Given a fleet of 2 hosts and 1 balancers
+    When 5000 hosts drain and leave
+    Then the balancer remembers at most 4096 drained names
+
   # The change that used up the former revision was in no answer to a watch.
   Scenario Outline: A change that gets the revision of a lost one comes into force: <case>
     Given a fleet of 3 hosts and 2 balancers
@@ -116,8 +121,34 @@
     When "h2" is written with 9 slots and the store is restored from a copy with 2
     Then "h2" has 2 slots
 
+  # The copy lists as ready what was seen to drain.
+  Scenario: A host that was seen to drain gets no new flow when a restored store lists it as ready
+    Given a fleet of 3 hosts and 2 balancers
+    And 12 open flows
+    When host "h1" drains and the store is restored from a copy made before
+    And 20 callers ask one after the other
+    Then host "h1" was given no new flow
+    And every open flow gets an answer from its host
+    When the store discards its history and 1 s goes by
+    And 20 callers ask one after the other
+    Then host "h1" was given no new flow
+
+  # The copy lists a host that had left.
+  Scenario: A host that drained and left gets no new flow when a restored store lists it again
+    Given a fleet of 3 hosts and 2 balancers
+    When host "h1" drains, leaves and the store is restored from a copy made before
+    And 20 callers ask one after the other
+    Then host "h1" was given no new flow
+
   # The copy lists the start before the last one.
   Scenario: A host that started again is not taken for its former start in a restored store
     Given a fleet of 3 hosts and 2 balancers
     When host "h1" starts again at another address and the store is restored from a copy made before
     Then the target "h1" is the one of the later start
+
+  # The copy lists the former host of an address.
+  Scenario: A host that lost its address gets no new flow when a restored store lists it again
+    Given a fleet of 3 hosts and 2 balancers
+    When the address of "h1" goes to a younger host that ends, and the store is restored from a copy made before
+    And 20 callers ask one after the other
+    Then host "h1" was given no new flow
--- a/tests/steering/targets_steps.py
+++ b/tests/steering/targets_steps.py
@@ -471,3 +471,22 @@
 @then("the balancer remembers at most {count:d} removed names")
 def check_removed(context, count):
     assert 0 < len(get_directory(context).removed_revisions) <= count
+
+
+@when("{count:d} hosts drain and leave")
+def drain_many(context, count):
+    wait(context, 1.0)
+    directory = get_directory(context)
+    address = context.fleet.hosts["h1"].address
+    first = context.fleet.store.revision + 1
+    for revision in range(first, first + count):
+        name = f"i-{revision}"
+        state = ListedState.DRAINING
+        listing = Listing(name, SERVICE, address, "riga-a", 2, state, 9, 0.0)
+        directory.apply(ListingChange(name, revision, listing))
+        directory.apply(ListingChange(name, revision, None, "removed"))
+
+
+@then("the balancer remembers at most {count:d} drained names")
+def check_drained(context, count):
+    assert 0 < len(get_directory(context).ended_incarnations) <= count
