Let no history prove the list of targets complete just after a restore

A balancer resets a flow that no known target holds once it knows every live target, and the store's history may prove that at once. Writes of the time that a restore took away are in no history, so a host that was listed only then is in neither, until its next heartbeat: the flows that it holds would be reset.

For RELISTING_SECONDS after a restore only time counts, neither a history that goes back far enough nor a restart of all hosts. A balancer that starts cannot have seen the restore; where the era is above the first one, the time counts from its first answer. A history of another era than the one followed is not used: the follower reads everything anew first.

--- a/chicorycart/steering/history.py
+++ b/chicorycart/steering/history.py
@@ -1,6 +1,7 @@
 """Finds out from the store's history whether a live host may be unlisted."""
 
 from asyncio import Event
+from asyncio import sleep
 from collections.abc import Collection
 
 from logbook import Logger
@@ -8,7 +9,9 @@
 from chicorycart.steering.directory import Directory
 from chicorycart.steering.errors import HistoryLostError
 from chicorycart.steering.errors import StoreError
+from chicorycart.steering.errors import StoreRestoredError
 from chicorycart.steering.follow import StoreFollower
+from chicorycart.steering.limits import GATHER_SECONDS
 from chicorycart.steering.limits import HISTORY_CALLS
 from chicorycart.steering.limits import HISTORY_PROOF_SECONDS
 from chicorycart.steering.limits import HISTORY_STEP
@@ -248,6 +251,15 @@
         revision = follower.revision
         try:
             after, self.changes = await self.read_history(revision)
+        except StoreRestoredError as error:
+            LOGGER.warning(
+                "event=history_unread revision={} reason={!r}",
+                revision,
+                str(error),
+            )
+            # The follower has yet to read everything anew.
+            await sleep(GATHER_SECONDS)
+            return
         except StoreError as error:
             after, self.changes = revision, []
             LOGGER.warning(
@@ -257,7 +269,8 @@
             )
         self.is_from_start = after == 0
         if reachable_since != follower.reachable_since:
-            # The store was unreachable meanwhile, so the result is outdated.
+            # The store was unreachable or restored meanwhile, so the result
+            # is outdated.
             return
         follower.is_history_checked = True
         vanished = self.evaluate()
@@ -277,6 +290,8 @@
     def evaluate(self) -> VanishedHosts:
         """Update the follower's `is_proven_complete`.
 
+        Just after a restore, hosts that are in no history may be unlisted.
+
         Returns
         -------
         VanishedHosts
@@ -296,11 +311,11 @@
         taken_over = sum(
             m.took_over_address and m.takes_new_work for m in present
         )
+        is_proven = vanished.are_all_known or is_full_restart(
+            self.changes, listed, taken_over, vanished.unlocated
+        )
         self.follower.is_proven_complete = (
-            vanished.are_all_known
-            or is_full_restart(
-                self.changes, listed, taken_over, vanished.unlocated
-            )
+            is_proven and not self.follower.is_relisting()
         )
         return vanished
 
@@ -320,9 +335,12 @@
 
         Raises
         ------
+        StoreRestoredError
+            If an answer is of another era than the one followed.
         StoreError
             If the store does not answer.
         """
+        era = self.follower.era
         available, discarded = revision, -1
         changes: list[ListingChange] = []
         step = HISTORY_STEP
@@ -336,7 +354,13 @@
                 found = await self.store.read_changes(
                     after, self.follower.answer_seconds
                 )
-                available, changes = after, found.listings
             except HistoryLostError:
                 discarded = after
+                continue
+            if found.era != era or found.revision < revision:
+                raise StoreRestoredError(
+                    f"era {era} at revision {revision} is followed, found era"
+                    f" {found.era} at revision {found.revision}"
+                )
+            available, changes = after, found.listings
         return available, changes
--- a/tests/steering/history.feature
+++ b/tests/steering/history.feature
@@ -111,6 +111,27 @@
     And every open flow asks for 2 s
     Then the store's history was read at most 8 times
 
+  # The host was listed only in the time that the restore took away.
+  Scenario: A balancer that starts after a restore resets no flow of a host that was listed in the lost time
+    Given a fleet of 3 hosts and 1 balancers
+    When host "h60" joins and 12 flows open, and the store is restored from a copy made before
+    And balancer "b2" starts in place of "b1"
+    And every open flow asks while "h60" is listed again within 1.5 s
+    Then no caller was reset
+    And every open flow gets an answer from its host
+
+  # The history of a restored store looks complete.
+  Scenario: For 2.5 s after a restore the history does not prove the list complete
+    Given a fleet of 3 hosts and 1 balancers
+    When host "h60" joins and 12 flows open, and the store is restored from a copy made before
+    Then the list counts as complete only after 2.5 s, though the history was read
+
+  # An answer of the restored store came before the balancer knew of it.
+  Scenario: A history of another era than the one followed is not used
+    Given a fleet of 3 hosts and 1 balancers
+    When the store is restored while the balancer waits for changes
+    Then a history read before the balancer knows of it is not used
+
   Scenario Outline: Hosts that may be alive although they are not listed: <case>
     # "+" is listed cold, "=" listed warm, "~" draining, "-" removed, "?" invalid
     Given entries of "a" at address 1 started at 1 s and of "b" at address 2 started at <b> s
--- a/tests/steering/history_steps.py
+++ b/tests/steering/history_steps.py
@@ -254,6 +254,95 @@
     assert 0 < recalls <= count, recalls
 
 
+@when(
+    'host "{name}" joins and {count:d} flows open, and the store is restored'
+    " from a copy made before"
+)
+def restore_without(context, name, count):
+    async def restore():
+        fleet = context.fleet
+        await fleet.settle()
+        copy = fleet.store.copy_state()
+        fleet.add_host(name, SERVICE)
+        await fleet.settle()
+        for _ in range(count):
+            context.flows.append(await fleet.open_flow())
+        fleet.store.restore(copy, keeps_history=True)
+
+    context.run(restore())
+    assert any(host == name for _, host in context.flows)
+
+
+@when('balancer "{new}" starts in place of "{old}"')
+def replace_balancer(context, new, old):
+    async def replace():
+        context.fleet.kill_balancer(old)
+        context.fleet.add_balancer(new)
+        await sleep(0.1)
+
+    context.run(replace())
+
+
+@when(
+    'every open flow asks while "{name}" is listed again within {seconds:g} s'
+)
+def ask_while_listed(context, name, seconds):
+    async def return_later():
+        await sleep(seconds)
+        context.fleet.list_host(name)
+
+    async def ask():
+        back = create_task(return_later())
+        await gather(*(caller.ask(b"early") for caller, _ in context.flows))
+        await back
+
+    context.run(ask())
+
+
+@then(
+    "the list counts as complete only after {seconds:g} s, though the history"
+    " was read"
+)
+def check_incomplete(context, seconds):
+    async def check():
+        balancer = context.fleet.balancers["b1"]
+        follower = balancer.follower
+        await sleep(1.0)
+        balancer.history.request_check()
+        await sleep(0.5)
+        assert follower.is_history_checked
+        assert not follower.knows_all_targets()
+        await sleep(seconds - 1.6)
+        balancer.history.request_check()
+        assert not follower.knows_all_targets()
+        await sleep(1.0)
+        assert follower.knows_all_targets()
+
+    context.run(check())
+
+
+@when("the store is restored while the balancer waits for changes")
+def restore_unnoticed(context):
+    async def restore():
+        fleet = context.fleet
+        await fleet.settle()
+        fleet.store.is_silent = True
+        fleet.store.era += 1
+
+    context.run(restore())
+
+
+@then("a history read before the balancer knows of it is not used")
+def check_unused(context):
+    async def check():
+        balancer = context.fleet.balancers["b1"]
+        await balancer.history.check()
+        assert not balancer.history.changes
+        assert not balancer.follower.is_history_checked
+
+    context.run(check())
+
+
 def make_listing(
     name, number, started_seconds, state=ListedState.READY, cold_seconds=0.0
 ):
