Draw restores of the store in the soak

A seed now may have one or two restores: the store is away, comes back from a copy up to 9 s old, and the operator and the hosts write again what they wrote last, while entries of hosts that had left expire. After a restore three more changes of the entry are published once bounds hold again, and checked as any other.

--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -35,11 +35,16 @@
     STORE_SILENT = "connections to the store go silent"
     STORE_ONE_WAY = "answers of the store are lost"
     STORE_SLOW = "the store is slow"
+    STORE_RESTORED = "the store is restored from a copy"
 
 
 PLANNED = tuple(Kind)[: tuple(Kind).index(Kind.KILL)]
 UNPLANNED = tuple(Kind)[len(PLANNED) :]
-MIXES = (PLANNED, UNPLANNED, tuple(Kind))
+DRAWN = tuple(kind for kind in Kind if kind is not Kind.STORE_RESTORED)
+MIXES = (PLANNED, DRAWN[len(PLANNED) :], DRAWN)
+FIRST_RESTORED_SEED = 100
+"""Restores are drawn apart, and not for the seeds below, so that the plans of
+seeds that failed once stay as they were."""
 
 
 class Step:
@@ -82,4 +87,19 @@
         )
         for _ in range(random.randint(FEWEST_STEPS, MOST_STEPS))
     ]
+    if kinds is not PLANNED and seed >= FIRST_RESTORED_SEED:
+        steps += draw_restores(Random(f"restores of seed {seed}"))
     return sorted(steps, key=lambda step: step.at)
+
+
+def draw_restores(random):
+    """Return no, one or two restores of the store."""
+    return [
+        Step(
+            random.uniform(0.0, FAULT_SECONDS),
+            Kind.STORE_RESTORED,
+            random.randrange(1_000),
+            random.uniform(0.2, 3.0),
+        )
+        for _ in range(random.randrange(3))
+    ]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,7 +6,11 @@
 from asyncio import sleep
 
 from tests.soak.plan import draw_plan
+from tests.soak.plan import Kind
+from tests.soak.promises import APPLY_SECONDS
+from tests.soak.promises import STABLE_SECONDS
 from tests.soak.testbed import ENTRIES
+from tests.soak.testbed import LAPSE_SECONDS
 from tests.soak.testbed import MOVING
 from tests.soak.testbed import Testbed
 
@@ -136,6 +140,17 @@
             )
 
 
+async def check_changes(testbed):
+    """Let callers check that changes still come into force in time.
+
+    Each state of the entry that moves is published once, among them none.
+    """
+    await sleep(STABLE_SECONDS + LAPSE_SECONDS)
+    for _ in range(3):
+        testbed.configure()
+        await sleep(APPLY_SECONDS + 1.0)
+
+
 async def play(seed, *size):
     """Play one seed in a world of some size; return its outcome."""
     testbed = Testbed(seed, *size)
@@ -155,6 +170,8 @@
         await gather(*applied)
         await traffic.check_recovered()
         await traffic.check_long()
+        if any(step.kind is Kind.STORE_RESTORED for step in steps):
+            await check_changes(testbed)
         testbed.promises.check_ran([*testbed.hosts.values(), *testbed.gone])
         for daemon in (*testbed.balancers, *testbed.agents):
             testbed.promises.check_memory(daemon.name, daemon.read_peak())
--- a/tests/soak/testbed.py
+++ b/tests/soak/testbed.py
@@ -4,6 +4,7 @@
 from asyncio import Event
 from asyncio import gather
 from asyncio import sleep
+from collections import deque
 from random import Random
 from signal import SIGHUP
 from signal import SIGKILL
@@ -44,6 +45,9 @@
 POLL_SECONDS = 0.2
 LAPSE_SECONDS = 3.2
 REUSE_SECONDS = 2.0
+COPY_SECONDS = 0.5
+COPIES = 18
+HEARTBEAT_SECONDS = 1.0
 STORM = 8
 FIRST_PORT = 20_000
 
@@ -79,6 +83,7 @@
         self.version = 0
         self.births = 1_000
         self.next_port = FIRST_PORT
+        self.copies = deque(maxlen=COPIES)
         self.tasks = []
 
     async def start(self):
@@ -91,10 +96,17 @@
         for _ in range(self.balancer_count):
             await self.add_balancer()
         self.fleet.open_answers()
+        self.tasks.append(create_task(self.copy_store()))
         for daemon in (*self.balancers, *self.agents):
             await self.fleet.wait_ready(daemon.ip)
         await self.all_in_rotation.wait()
 
+    async def copy_store(self):
+        """Keep copies of the store of the last seconds."""
+        while True:
+            self.copies.append(self.kv.copy_state())
+            await sleep(COPY_SECONDS)
+
     async def add_agent(self, place, service):
         """Start the agent of a place."""
         ip = self.fleet.find_ip(place + 1)
@@ -162,6 +174,10 @@
     def configure(self):
         """Publish the next version: one entry moves, or leads nowhere."""
         self.version += 1
+        self.promises.configure(self.publish())
+
+    def publish(self):
+        """Write the newest version; return where each entry leads."""
         moving = (*SERVICES, None)[self.version % 3]
         routes = dict(zip(ENTRIES, (*SERVICES, moving), strict=True))
         config = make_config()
@@ -176,8 +192,8 @@
             for entry, service in routes.items()
             if service is not None
         ]
-        self.promises.configure(routes)
         self.kv.put("op/config", encode(config))
+        return routes
 
     async def follow(self, daemon):
         """Keep a balancer in rotation while it says that it is ready."""
@@ -374,6 +390,34 @@
                 is_draining = host.name in self.promises.draining
                 self.list_host(host, "draining" if is_draining else "ready")
 
+    async def restore_store(self, step):
+        """Let the store be away and come back from a copy.
+
+        The operator and the hosts write again what they wrote last, and the
+        entries of hosts that had left expire.
+        """
+        for stream in self.streams:
+            stream.is_refusing = True
+            stream.reset()
+        await sleep(step.seconds)
+        self.kv.restore(self.pick(step, self.copies))
+        former = {
+            key for key in self.kv.items if key.startswith("servers/")
+        } - {f"servers/{host.name}" for host in self.hosts.values()}
+        self.publish()
+        for stream in self.streams:
+            stream.is_refusing = False
+        hosts = list(self.hosts.values())
+        for host in hosts:
+            await sleep(HEARTBEAT_SECONDS / len(hosts))
+            if self.hosts.get(host.place) is host:
+                is_draining = host.name in self.promises.draining
+                self.list_host(host, "draining" if is_draining else "ready")
+        await sleep(LAPSE_SECONDS - HEARTBEAT_SECONDS)
+        for key in former & set(self.kv.items):
+            if not self.kv.items[key].get("tombstone"):
+                self.kv.remove(key)
+
     async def silence_store(self, step):
         """Hold everything between a balancer and the store."""
         stream = self.pick(step, self.streams)
@@ -430,4 +474,5 @@
     Kind.STORE_SILENT: Testbed.silence_store,
     Kind.STORE_ONE_WAY: Testbed.lose_answers,
     Kind.STORE_SLOW: Testbed.slow_store,
+    Kind.STORE_RESTORED: Testbed.restore_store,
 }
