--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -1,6 +1,7 @@
 """Table of each service's targets, kept up to date from the store."""
 
 from collections import OrderedDict
+from copy import copy
 
 from logbook import Logger
 
@@ -136,12 +137,17 @@
         All targets by name.
     removed_revisions : OrderedDict of str to int
         Revision of the removal of each target that was removed, by name.
+    retired_incarnations : OrderedDict of str to int
+        Last incarnation of each target that was seen to drain or lost its
+        address to another, by name. It gets no new flows any more, also if a
+        restored store lists it as ready.
     vanished : dict of Address to VanishedTarget
         Targets that vanished and may be alive, by the address of their agent.
     ended : OrderedDict of Address to None
         Agents of leaving targets whose hosts have ended, latest last.
     changes : int
-        Number of targets that were added or proved to have ended so far.
+        Number of entries that were applied, and of targets that vanished or
+        proved to have ended, so far.
     """
 
     __slots__ = (
@@ -150,6 +156,7 @@
         "lapse_seconds",
         "members",
         "removed_revisions",
+        "retired_incarnations",
         "services",
         "by_agent_host",
         "flow_ttl_seconds",
@@ -170,6 +177,7 @@
         self.lapse_seconds = lapse_seconds
         self.members: dict[str, Member] = {}
         self.removed_revisions: OrderedDict[str, int] = OrderedDict()
+        self.retired_incarnations: OrderedDict[str, int] = OrderedDict()
         self.services: dict[str, dict[str, Member]] = {}
         self.by_agent_host: dict[str, Member] = {}
         self.flow_ttl_seconds = flow_ttl_seconds
@@ -177,9 +185,29 @@
         self.ended: OrderedDict[Address, None] = OrderedDict()
         self.changes = 0
 
-    def replace(self, changes: list[ListingChange], revision: int) -> None:
-        """Apply a full read; targets missing from it have vanished."""
+    def replace(
+        self,
+        changes: list[ListingChange],
+        revision: int,
+        is_restored: bool = False,
+    ) -> None:
+        """Apply a full read; targets missing from it have vanished.
+
+        Parameters
+        ----------
+        changes : list of ListingChange
+            All entries.
+        revision : int
+            Revision of the store at the read.
+        is_restored : bool, optional
+            Whether the store was restored from a copy since the last read.
+            The known revisions then order nothing any more.
+        """
         self.removed_revisions.clear()
+        if is_restored:
+            for member in self.members.values():
+                member.revision = 0
+            changes = [c for c in changes if not self.is_outdated(c)]
         present = {change.name for change in changes}
         for change in changes:
             self.apply(change)
@@ -201,8 +229,18 @@
         else:
             self.put(change.listing, change.revision)
 
+    def is_outdated(self, change: ListingChange) -> bool:
+        """Tell whether an entry is of an earlier start than the known one."""
+        known = self.members.get(change.name)
+        return (
+            known is not None
+            and change.listing is not None
+            and 0 < change.listing.incarnation < known.listing.incarnation
+        )
+
     def put(self, listing: Listing, revision: int) -> None:
         """Add a target, or replace it by its changed entry."""
+        listing = self.retain_retirement(listing)
         other = self.by_agent_host.get(listing.address.host)
         if other is not None and other.listing.name != listing.name:
             if is_older(listing, revision, other):
@@ -225,8 +263,7 @@
         self.by_agent_host[agent.host] = member
         self.vanished.pop(agent, None)
         self.ended.pop(agent, None)
-        if known is None:
-            self.changes += 1
+        self.changes += 1
         if known is None or has_changed(known, member):
             LOGGER.info(
                 "event=target_listed target={} service={} address={} state={}"
@@ -261,6 +298,7 @@
             f"address taken over by {successor}",
         )
         self.record_removed(name, member.revision)
+        self.record_retired(member.listing)
         self.discard(member)
 
     def record_removed(self, name: str, revision: int) -> None:
@@ -270,6 +308,31 @@
         if len(self.removed_revisions) > MAX_REMOVED:
             self.removed_revisions.popitem(last=False)
 
+    def retain_retirement(self, listing: Listing) -> Listing:
+        """Return an entry as draining if its target is known to have drained.
+
+        A store that was restored from a copy may list it as ready.
+        """
+        if listing.state is ListedState.DRAINING:
+            self.record_retired(listing)
+        elif self.is_retired(listing):
+            listing = copy(listing)
+            listing.state = ListedState.DRAINING
+        return listing
+
+    def record_retired(self, listing: Listing) -> None:
+        """Remember that an incarnation of a target gets no new flows."""
+        if listing.incarnation:
+            self.retired_incarnations[listing.name] = listing.incarnation
+            self.retired_incarnations.move_to_end(listing.name)
+        if len(self.retired_incarnations) > MAX_REMOVED:
+            self.retired_incarnations.popitem(last=False)
+
+    def is_retired(self, listing: Listing) -> bool:
+        """Tell whether this incarnation of a target gets no new flows."""
+        retired = self.retired_incarnations.get(listing.name)
+        return retired is not None and retired == listing.incarnation
+
     def remove(self, name: str, revision: int, reason: str) -> None:
         """Apply the removal of an entry.
 
--- a/tests/steering/targets.feature
+++ b/tests/steering/targets.feature
@@ -89,3 +89,66 @@
     Given a fleet of 2 hosts and 1 balancers
     When the removal of 5000 hosts is read
     Then the balancer remembers at most 4096 removed names
+
+  Scenario: The number of drained targets that a balancer remembers is limited
+    Given a fleet of 2 hosts and 1 balancers
+    When 5000 hosts drain and leave
+    Then the balancer remembers at most 4096 drained names
+
+  # The change that used up the former revision was in no answer to a watch.
+  Scenario Outline: A change that gets the revision of a lost one comes into force: <case>
+    Given a fleet of 3 hosts and 2 balancers
+    When the store is restored from a copy that lacks version 4, and its era <changes>
+    And version 5 is published at the revision that version 4 had
+    Then version 5 is in force within 1 s
+    And host "h2" drains and is draining within 1 s
+
+    Examples:
+      | case                | changes       |
+      | the era rises       | rises         |
+      | the era falls       | falls         |
+      | no era is published | is never told |
+
+  # The watch went on from a revision that was given out twice.
+  Scenario: Changes below the followed revision are read although the restored store has passed it
+    Given a fleet of 3 hosts and 2 balancers
+    When the store is restored from a copy and passes its former revision before it answers
+    Then version 5 is in force within 1 s and "h2" is draining
+
+  # The entry of the copy had a lower revision than the lost one.
+  Scenario: An entry that only the lost writes changed is as the restored store has it
+    Given a fleet of 3 hosts and 2 balancers
+    When "h2" is written with 9 slots and the store is restored from a copy with 2
+    Then "h2" has 2 slots
+
+  # The copy lists as ready what was seen to drain.
+  Scenario: A host that was seen to drain gets no new flow when a restored store lists it as ready
+    Given a fleet of 3 hosts and 2 balancers
+    And 12 open flows
+    When host "h1" drains and the store is restored from a copy made before
+    And 20 callers ask one after the other
+    Then host "h1" was given no new flow
+    And every open flow gets an answer from its host
+    When the store discards its history and 1 s goes by
+    And 20 callers ask one after the other
+    Then host "h1" was given no new flow
+
+  # The copy lists a host that had left.
+  Scenario: A host that drained and left gets no new flow when a restored store lists it again
+    Given a fleet of 3 hosts and 2 balancers
+    When host "h1" drains, leaves and the store is restored from a copy made before
+    And 20 callers ask one after the other
+    Then host "h1" was given no new flow
+
+  # The copy lists the start before the last one.
+  Scenario: A host that started again is not taken for its former start in a restored store
+    Given a fleet of 3 hosts and 2 balancers
+    When host "h1" starts again at another address and the store is restored from a copy made before
+    Then the target "h1" is the one of the later start
+
+  # The copy lists the former host of an address.
+  Scenario: A host that lost its address gets no new flow when a restored store lists it again
+    Given a fleet of 3 hosts and 2 balancers
+    When the address of "h1" goes to a younger host that ends, and the store is restored from a copy made before
+    And 20 callers ask one after the other
+    Then host "h1" was given no new flow
