--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -105,3 +105,11 @@
     When balancer "b1" is replaced
     Then 2 requests at once on every open flow are answered within 2 s
     And no caller was reset
+
+  # An agent reported a flow once to each address of a balancer.
+  Scenario: A balancer that restarts at its address learns the hosts of its flows
+    Given a fleet of 7 hosts and 1 balancers
+    And 12 open flows
+    When balancer "b1" is replaced
+    Then every open flow gets an answer from its host
+    And every flow in a balancer's cache is confirmed
