Find out within a second that a leaving host has ended

Cause: balancers that had just started found the hosts of the releases in the store's history and asked them too. Their agents were silent, which took six probes of 0.25 s, or answered probes although the hosts had ended, until their machines were removed.

Probes are 0.15 s apart now. A leaving host that leaves three packets of searches unanswered for a second has ended, though its agent answers: a host returns at once what it does not hold, and acknowledges what a caller repeats. Scenario, with the agents alive: Flows of a drained host that has ended are reset: its agent answers.

--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -82,6 +82,11 @@
         Probes in a row that its agent did not answer.
     probed_at : float
         Time of the last probe, or of the removal before the first one.
+    questions : int
+        Packets of searches that its host did not answer, since it last
+        answered one.
+    asked_at : float
+        Time of the first of them.
     """
 
     __slots__ = (
@@ -91,6 +96,8 @@
         "was_draining",
         "unanswered_probes",
         "probed_at",
+        "questions",
+        "asked_at",
     )
 
     def __init__(
@@ -107,6 +114,8 @@
         self.was_draining = was_draining
         self.unanswered_probes = 0
         self.probed_at = probed_at
+        self.questions = 0
+        self.asked_at = 0.0
 
 
 class Directory:
@@ -442,6 +451,21 @@
         target = self.vanished.get(agent)
         return target is not None and target.was_draining
 
+    def record_question(self, agent: Address) -> None:
+        """Note that a target was sent a packet that its host has to answer."""
+        target = self.vanished.get(agent)
+        if target is None:
+            return
+        if not target.questions:
+            target.asked_at = self.clock.now()
+        target.questions += 1
+
+    def record_answer(self, agent: Address) -> None:
+        """Note that a target's host answered, or returned, a packet."""
+        target = self.vanished.get(agent)
+        if target is not None:
+            target.questions = 0
+
     def has_ended(self, agent: Address) -> bool:
         """Tell whether an agent's host proved to have ended."""
         return agent in self.ended
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -85,12 +85,19 @@
 """Packets of one flow whose copies are recognised; twice the number that
 callers have in flight."""
 
-LEAVING_PROBE_SECONDS = 0.25
+LEAVING_PROBE_SECONDS = 0.15
 """Interval between two probes of a leaving target."""
 
 MAX_UNANSWERED_PROBES = 6
 """Probes in a row without an answer after which a leaving target has ended:
-1.5 s, more than an agent takes to restart."""
+0.9 s, more than an agent takes to restart."""
+
+LEAVING_SILENCE_SECONDS = 1.0
+MIN_UNANSWERED_QUESTIONS = 3
+"""Time, and packets of searches in a row, without an answer after which the
+host of a leaving target has ended although its agent answers probes. A host
+returns at once what it does not hold, and acknowledges what a caller repeats;
+callers repeat twice in 0.6 s."""
 
 PROBES_AFTER_RESTART = 2
 """Unanswered probes that suffice if all hosts have just restarted."""
--- a/chicorycart/steering/probes.py
+++ b/chicorycart/steering/probes.py
@@ -10,7 +10,9 @@
 from chicorycart.steering.directory import VanishedTarget
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.limits import LEAVING_PROBE_SECONDS
+from chicorycart.steering.limits import LEAVING_SILENCE_SECONDS
 from chicorycart.steering.limits import MAX_UNANSWERED_PROBES
+from chicorycart.steering.limits import MIN_UNANSWERED_QUESTIONS
 from chicorycart.steering.limits import PROBE_INTERVAL_SECONDS
 from chicorycart.steering.messages import encode_probe_answer
 from chicorycart.steering.messages import TargetLoad
@@ -95,13 +97,24 @@
             leaving.unanswered_probes = 0
         elif self.health.last_heard_at >= leaving.probed_at:
             leaving.unanswered_probes += 1
+        now = self.health.clock.now()
         if leaving.unanswered_probes >= MAX_UNANSWERED_PROBES:
-            self.directory.discard_leaving(agent, "its agent is silent")
-            self.health.forget(agent)
+            self.discard(agent, "its agent is silent")
+            return
+        if (
+            leaving.questions >= MIN_UNANSWERED_QUESTIONS
+            and now - leaving.asked_at >= LEAVING_SILENCE_SECONDS
+        ):
+            self.discard(agent, "its host is silent")
             return
-        leaving.probed_at = self.health.clock.now()
+        leaving.probed_at = now
         self.sender.send(MessageKind.PROBE, b"", agent)
 
+    def discard(self, agent: Address, reason: str) -> None:
+        """Discard a leaving target whose host has ended."""
+        self.directory.discard_leaving(agent, reason)
+        self.health.forget(agent)
+
     def probe_control(self) -> None:
         """Probe a listed target, another one each time."""
         members = list(self.directory.members.values())
--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -65,6 +65,17 @@
     And the other half is reset within 0.3 s of its next request
     And every flow of the other hosts gets an answer and none is reset
 
+  # The agent of a host that has ended runs on until its machine is removed.
+  Scenario: Flows of a drained host that has ended are reset: its agent answers
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And balancer "b1" is replaced
+    And these hosts end at once, but not their agents
+    Then half of their flows are reset within 2.5 s of the end
+    And the other half is reset within 0.3 s of its next request
+    And every flow of the other hosts gets an answer and none is reset
+
   # Draining targets were asked after all others.
   Scenario: The flow of a draining host is found by asking a part of the targets
     Given a fleet of 48 hosts and 1 balancers
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -155,6 +155,12 @@
     context.run(end())
 
 
+@when("these hosts end at once, but not their agents")
+def end_hosts_only(context):
+    for name in context.drained:
+        context.fleet.hosts[name].is_silent = True
+
+
 def list_flows_of_drained(context):
     """Return the callers of the flows of the drained hosts."""
     callers = [c for c, name in context.flows if name in context.drained]
