Believe a host that writes that it is ready again

The memory of drains is there against entries of a copy. It held against every later entry of the same start as well, so a host that took its drain back would never have got a flow again. It now holds for entries up to the revision of the first read after a restore; what is written later is the host's own word, and ends the memory.

With it: targets, history and stops of tests/steering 55 passed, 0 failed.

--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -108,8 +108,10 @@
         Revision of the removal of each target that was removed, by name.
     ended_incarnations : OrderedDict of str to int
         Last incarnation of each target that was seen to drain or lost its
-        address to another, by name. It gets no new flows any more, also if a
-        restored store lists it as ready.
+        address to another, by name. A copy of the store may list it as ready.
+    copied_revision : int
+        Revision up to which entries may be those of a copy; 0 if the store
+        was not restored.
     vanished : dict of Address to VanishedTarget
         Targets that vanished without draining, by the address of their agent.
     """
@@ -121,6 +123,7 @@
         "members",
         "removed_revisions",
         "ended_incarnations",
+        "copied_revision",
         "services",
         "by_agent_host",
         "flow_ttl_seconds",
@@ -140,6 +143,7 @@
         self.members: dict[str, Member] = {}
         self.removed_revisions: OrderedDict[str, int] = OrderedDict()
         self.ended_incarnations: OrderedDict[str, int] = OrderedDict()
+        self.copied_revision = 0
         self.services: dict[str, dict[str, Member]] = {}
         self.by_agent_host: dict[str, Member] = {}
         self.flow_ttl_seconds = flow_ttl_seconds
@@ -165,6 +169,7 @@
         """
         self.removed_revisions.clear()
         if is_restored:
+            self.copied_revision = revision
             for member in self.members.values():
                 member.revision = 0
             changes = [c for c in changes if not self.is_outdated(c)]
@@ -200,11 +205,7 @@
 
     def put(self, listing: Listing, revision: int) -> None:
         """Add a target, or replace it by its changed entry."""
-        if listing.state is ListedState.DRAINING:
-            self.record_ended(listing)
-        elif self.has_ended(listing):
-            listing = copy(listing)
-            listing.state = ListedState.DRAINING
+        listing = self.correct_state(listing, revision)
         other = self.by_agent_host.get(listing.address.host)
         if other is not None and other.listing.name != listing.name:
             if is_older(listing, revision, other):
@@ -266,8 +267,20 @@
         if len(self.removed_revisions) > MAX_REMOVED:
             self.removed_revisions.popitem(last=False)
 
+    def correct_state(self, listing: Listing, revision: int) -> Listing:
+        """Return an entry, as draining if it is the copy of an ended one."""
+        if listing.state is ListedState.DRAINING:
+            self.record_ended(listing)
+        elif self.has_ended(listing):
+            if revision <= self.copied_revision:
+                listing = copy(listing)
+                listing.state = ListedState.DRAINING
+            else:
+                del self.ended_incarnations[listing.name]
+        return listing
+
     def record_ended(self, listing: Listing) -> None:
-        """Remember that an incarnation of a target gets no new flows."""
+        """Remember that an incarnation of a target drained or ended."""
         if listing.incarnation:
             self.ended_incarnations[listing.name] = listing.incarnation
             self.ended_incarnations.move_to_end(listing.name)
@@ -275,7 +288,7 @@
             self.ended_incarnations.popitem(last=False)
 
     def has_ended(self, listing: Listing) -> bool:
-        """Tell whether this incarnation of a target gets no new flows."""
+        """Tell whether this incarnation of a target drained or ended."""
         ended = self.ended_incarnations.get(listing.name)
         return ended is not None and ended == listing.incarnation
 
--- a/tests/steering/targets.feature
+++ b/tests/steering/targets.feature
@@ -133,6 +133,13 @@
     And 20 callers ask one after the other
     Then host "h1" was given no new flow
 
+  # Not the copy, but the host itself says so.
+  Scenario: A host that was seen to drain gets new flows once it writes that it is ready
+    Given a fleet of 3 hosts and 2 balancers
+    When host "h1" drains and the store is restored from a copy made before
+    And host "h1" is listed as ready and 1 s goes by
+    Then host "h1" is ready
+
   # The copy lists a host that had left.
   Scenario: A host that drained and left gets no new flow when a restored store lists it again
     Given a fleet of 3 hosts and 2 balancers
--- a/tests/steering/targets_steps.py
+++ b/tests/steering/targets_steps.py
@@ -406,6 +406,17 @@
     wait(context, 1.0)
 
 
+@when('host "{name}" is listed as ready and 1 s goes by')
+def list_ready(context, name):
+    context.fleet.list_host(name)
+    wait(context, 1.0)
+
+
+@then('host "{name}" is ready')
+def check_ready_host(context, name):
+    check_state(context, name, ListedState.READY)
+
+
 @when("the store discards its history and 1 s goes by")
 def discard_only(context):
     context.fleet.store.forget_history()
