Count only packets that a host must answer as unanswered

A host does not answer an acknowledgement of its own flow, so three of them in a second would have proved that a leaving host had ended. Found by reading; a scenario of it passed with and without the condition and was not kept.

--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -218,8 +218,9 @@
         """Send a packet of an open flow to agents whose hosts may hold it."""
         state.asked_at = self.health.clock.now()
         self.held.set_probe(segment)
-        for agent in agents:
-            self.directory.record_question(agent)
+        if segment.has_contents:
+            for agent in agents:
+                self.directory.record_question(agent)
         if all(map(self.health.is_suspended, agents)):
             self.parked.put_data(segment, state)
         if self.depends_on_leaving(state):
