Let any word of a leaving host take back that it has ended

- 7 of 7 flows were reset after their host had been out of reach for 2 s: the verdict by silence was for good, and later messages counted as foreign.
An ended target is now probed on each second, its messages count, and any word takes the verdict back. 7 of 7 answered after 1.5 and 3 s out of reach.
- One dead host that was still listed kept a balancer that had just started from reading the history, so that it never learned of a leaving owner (0 of 3 flows answered in 12 s).
A repetition of the caller has it read now (0.6 s).
- A flow that its caller had closed was reset when its host ended, 7 of 7, also if the five-tuple was in use again.
Closing packets are not kept; a caller that goes on with an ended host's flow is searched for before it is reset, since it may be another flow.
- Undecided flows are looked at in batches: 2,048 of them took 0.2 to 0.28 s in one turn.
- A discarded history is reported for watches alone; a 410 to a whole read was repeated without a pause.

Which incarnation vanished is remembered with it, so that the history of a restored store neither revives an ended host nor makes a drained one ready; an entry of an earlier start than the retired one is outdated as well.

--- a/chicorycart/platform/store.py
+++ b/chicorycart/platform/store.py
@@ -21,6 +21,7 @@
 from chicorycart.steering.published import ListingChange
 
 ALL_KEYS = ""
+WATCH_PATH = "/kv-watch"
 OK = 200
 GONE = 410
 SHORTEST_WAIT_MS = 1
@@ -103,7 +104,7 @@
             "after": after,
             "waitMs": round(seconds * 1000),
         }
-        page = await self.call("/kv-watch", query, seconds + answer_seconds)
+        page = await self.call(WATCH_PATH, query, seconds + answer_seconds)
         return decode_changes(page, read_items(page, "events"))
 
     async def read_changes(self, after: int, answer_seconds: float) -> Changes:
@@ -113,7 +114,7 @@
             "after": after,
             "waitMs": SHORTEST_WAIT_MS,
         }
-        page = await self.call("/kv-watch", query, answer_seconds)
+        page = await self.call(WATCH_PATH, query, answer_seconds)
         return decode_changes(page, read_items(page, "events"))
 
     async def call(
@@ -135,7 +136,7 @@
             )
         except LinkError as error:
             raise StoreError(str(error)) from error
-        if answer.status == GONE:
+        if answer.status == GONE and path == WATCH_PATH:
             raise HistoryLostError(
                 f"{path}: the store has discarded changes since the revision"
             )
--- a/chicorycart/steering/choice.py
+++ b/chicorycart/steering/choice.py
@@ -63,7 +63,7 @@
         vanished = self.directory.list_vanished(service)
         targets = [
             *((True, m.target) for m in members if m.lapses_at is None),
-            *((True, v.target) for v in vanished if v.was_draining),
+            *((True, v.target) for v in vanished if v.is_leaving),
             *((False, m.target) for m in members if m.lapses_at is not None),
         ]
         targets.sort(
@@ -72,7 +72,7 @@
         )
         return [
             *(target.agent for _, target in targets),
-            *(v.target.agent for v in vanished if not v.was_draining),
+            *(v.target.agent for v in vanished if not v.is_leaving),
         ]
 
     def choose(
--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -11,8 +11,6 @@
 from chicorycart.configuration.model import TargetState
 from chicorycart.steering.limits import LAPSE_SECONDS
 from chicorycart.steering.limits import MAX_REMOVED
-from chicorycart.steering.limits import MAX_UNANSWERED_PROBES
-from chicorycart.steering.limits import PROBES_AFTER_RESTART
 from chicorycart.steering.published import ListedState
 from chicorycart.steering.published import Listing
 from chicorycart.steering.published import ListingChange
@@ -71,13 +69,18 @@
     ----------
     target : Target
         The target in the form that placement ranks.
-    service : str
-        Service that it belonged to.
+    listing : Listing
+        Its last entry.
     expires_at : float
         Time until which its host may hold flows.
     was_draining : bool
         Whether it vanished while it was draining. Its host ends soon, so
-        that an agent that answers no probes proves that it has.
+        that its silence proves that it has.
+    has_ended : bool
+        Whether that was proved; any word of it disproves it.
+    was_heard : bool
+        Whether its agent was heard since it is known that it vanished, or
+        was known before.
     unanswered_probes : int
         Probes in a row that its agent did not answer.
     probed_at : float
@@ -91,9 +94,11 @@
 
     __slots__ = (
         "target",
-        "service",
+        "listing",
         "expires_at",
         "was_draining",
+        "has_ended",
+        "was_heard",
         "unanswered_probes",
         "probed_at",
         "questions",
@@ -103,20 +108,33 @@
     def __init__(
         self,
         target: Target,
-        service: str,
+        listing: Listing,
         expires_at: float,
         was_draining: bool,
+        was_heard: bool,
         probed_at: float,
     ):
         self.target = target
-        self.service = service
+        self.listing = listing
         self.expires_at = expires_at
         self.was_draining = was_draining
+        self.has_ended = False
+        self.was_heard = was_heard
         self.unanswered_probes = 0
         self.probed_at = probed_at
         self.questions = 0
         self.asked_at = 0.0
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether its host may still end its work."""
+        return self.was_draining and not self.has_ended
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether its agent is not expected to answer at once."""
+        return not self.was_heard or self.unanswered_probes > 0
+
 
 class Directory:
     """Table of targets by service, updated by the changes in the store.
@@ -154,11 +172,9 @@
         was not restored.
     vanished : dict of Address to VanishedTarget
         Targets that vanished and may be alive, by the address of their agent.
-    ended : OrderedDict of Address to None
-        Agents of leaving targets whose hosts have ended, latest last.
     changes : int
-        Number of entries that were applied, and of targets that vanished or
-        proved to have ended, so far.
+        Counts what changes the possible owners of flows: entries, and
+        targets that vanish, end, or prove to be alive after all.
     """
 
     __slots__ = (
@@ -173,7 +189,6 @@
         "by_agent_host",
         "flow_ttl_seconds",
         "vanished",
-        "ended",
         "changes",
     )
 
@@ -195,7 +210,6 @@
         self.by_agent_host: dict[str, Member] = {}
         self.flow_ttl_seconds = flow_ttl_seconds
         self.vanished: dict[Address, VanishedTarget] = {}
-        self.ended: OrderedDict[Address, None] = OrderedDict()
         self.changes = 0
 
     def replace(
@@ -245,12 +259,13 @@
 
     def is_outdated(self, change: ListingChange) -> bool:
         """Tell whether an entry is of an earlier start than the known one."""
+        if change.listing is None:
+            return False
         known = self.members.get(change.name)
-        return (
-            known is not None
-            and change.listing is not None
-            and 0 < change.listing.incarnation < known.listing.incarnation
-        )
+        latest = self.retired_incarnations.get(change.name, 0)
+        if known is not None:
+            latest = max(latest, known.listing.incarnation)
+        return 0 < change.listing.incarnation < latest
 
     def put(self, listing: Listing, revision: int) -> None:
         """Add a target, or replace it by its changed entry."""
@@ -276,7 +291,6 @@
         self.services.setdefault(listing.service, {})[listing.name] = member
         self.by_agent_host[agent.host] = member
         self.vanished.pop(agent, None)
-        self.ended.pop(agent, None)
         self.changes += 1
         if known is None or has_changed(known, member):
             LOGGER.info(
@@ -371,7 +385,7 @@
             )
             return
         self.discard(member)
-        self.record_vanished(member.listing, was_draining=True)
+        self.record_vanished(member.listing, True, was_heard=True)
         LOGGER.info(
             "event=target_leaving target={} agent={} reason={!r} revision={}",
             name,
@@ -395,7 +409,7 @@
         for member in [m for m in members.values() if m.lapses_at is not None]:
             if now >= member.lapses_at:
                 self.discard(member)
-                self.record_vanished(member.listing)
+                self.record_vanished(member.listing, was_heard=True)
                 LOGGER.warning(
                     "event=target_gone target={} reason={!r}",
                     member.listing.name,
@@ -412,7 +426,10 @@
         return name in self.members or name in self.removed_revisions
 
     def record_vanished(
-        self, listing: Listing, was_draining: bool = False
+        self,
+        listing: Listing,
+        was_draining: bool = False,
+        was_heard: bool = False,
     ) -> None:
         """Record a host that may be alive although it is not listed.
 
@@ -422,18 +439,27 @@
             Its last entry.
         was_draining : bool, optional
             Whether it was draining.
+        was_heard : bool, optional
+            Whether it was listed until now; otherwise only the store's
+            history tells of it.
         """
         target = self.make_target(listing)
-        if target.agent.host in self.by_agent_host:
-            return
-        if was_draining and self.has_ended(target.agent):
+        agent = target.agent
+        known = self.vanished.get(agent)
+        if agent.host in self.by_agent_host or (
+            known is not None
+            and listing.incarnation <= known.listing.incarnation
+        ):
             return
+        if was_draining:
+            self.record_retired(listing)
         now = self.clock.now()
-        self.vanished[target.agent] = VanishedTarget(
+        self.vanished[agent] = VanishedTarget(
             target,
-            listing.service,
+            listing,
             now + self.flow_ttl_seconds,
-            was_draining,
+            was_draining or self.is_retired(listing),
+            was_heard,
             now,
         )
         self.changes += 1
@@ -445,63 +471,85 @@
             a for a, v in self.vanished.items() if now >= v.expires_at
         ]:
             del self.vanished[agent]
-        return [v for v in self.vanished.values() if v.service == service]
+        return [
+            vanished
+            for vanished in self.vanished.values()
+            if vanished.listing.service == service and not vanished.has_ended
+        ]
 
-    def list_leaving(self) -> list[VanishedTarget]:
+    def list_drained(self) -> list[VanishedTarget]:
         """Return the targets that vanished while draining."""
         return [v for v in self.vanished.values() if v.was_draining]
 
     def is_leaving(self, agent: Address) -> bool:
         """Tell whether an agent's host may live on after its entry's end."""
-        target = self.vanished.get(agent)
-        return target is not None and target.was_draining
+        vanished = self.vanished.get(agent)
+        return vanished is not None and vanished.is_leaving
+
+    def is_silent(self, agent: Address) -> bool:
+        """Tell whether a vanished target is not expected to answer at once."""
+        vanished = self.vanished.get(agent)
+        return vanished is not None and vanished.is_silent
+
+    def has_ended(self, agent: Address) -> bool:
+        """Tell whether an agent's host seems to have ended after draining."""
+        vanished = self.vanished.get(agent)
+        return vanished is not None and vanished.has_ended
 
     def record_question(self, agent: Address) -> None:
         """Note that a target was sent a packet that its host has to answer."""
-        target = self.vanished.get(agent)
-        if target is None:
+        vanished = self.vanished.get(agent)
+        if vanished is None:
             return
-        if not target.questions:
-            target.asked_at = self.clock.now()
-        target.questions += 1
+        if not vanished.questions:
+            vanished.asked_at = self.clock.now()
+        vanished.questions += 1
 
     def record_answer(self, agent: Address) -> None:
         """Note that a target's host answered, or returned, a packet."""
-        target = self.vanished.get(agent)
-        if target is not None:
-            target.questions = 0
-
-    def has_ended(self, agent: Address) -> bool:
-        """Tell whether an agent's host proved to have ended."""
-        return agent in self.ended
+        vanished = self.vanished.get(agent)
+        if vanished is not None:
+            vanished.questions = 0
+            self.record_heard(vanished)
+
+    def record_heard(self, vanished: VanishedTarget) -> None:
+        """Note that a vanished target was heard."""
+        vanished.unanswered_probes = 0
+        vanished.was_heard = True
+        vanished.expires_at = self.clock.now() + self.flow_ttl_seconds
+        if vanished.has_ended:
+            vanished.has_ended = False
+            self.changes += 1
+            LOGGER.warning(
+                "event=target_leaving target={} agent={} reason={!r}",
+                vanished.target.name,
+                vanished.target.agent,
+                "heard again",
+            )
 
-    def discard_leaving(self, agent: Address, reason: str) -> None:
-        """Discard a leaving target whose host has ended."""
-        vanished = self.vanished.pop(agent)
+    def record_end(self, vanished: VanishedTarget, reason: str) -> None:
+        """Record that the host of a leaving target seems to have ended."""
+        vanished.has_ended = True
         self.changes += 1
-        self.ended[agent] = None
-        if len(self.ended) > MAX_REMOVED:
-            self.ended.popitem(last=False)
         LOGGER.info(
             "event=target_gone target={} reason={!r}",
             vanished.target.name,
             reason,
         )
 
-    def hasten_leaving(self) -> None:
-        """Let a few more unanswered probes prove that leaving hosts ended."""
-        fewest = MAX_UNANSWERED_PROBES - PROBES_AFTER_RESTART
-        for leaving in self.list_leaving():
-            leaving.unanswered_probes = max(leaving.unanswered_probes, fewest)
-
     def find_by_host(self, host: str) -> Member | None:
         """Return the target whose agent has this IP address."""
         return self.by_agent_host.get(host)
 
+    def is_possible_owner(self, agent: Address) -> bool:
+        """Tell whether the host of an agent may hold flows."""
+        return self.is_known(agent.host) and not self.has_ended(agent)
+
     def is_known(self, host: str) -> bool:
-        """Tell whether this is the IP address of the agent of a target.
+        """Tell whether messages from this IP address are accepted.
 
-        Targets that vanished and may be alive count too.
+        They are those of agents of listed targets and of targets that
+        vanished lately.
         """
         return (
             host in self.by_agent_host
--- a/chicorycart/steering/flows.py
+++ b/chicorycart/steering/flows.py
@@ -31,7 +31,8 @@
     is_confirmed : bool
         Whether that agent reported that its host holds the flow.
     has_lost_owner : bool
-        Whether the confirmed owner later returned a packet of the flow.
+        Whether a confirmed owner no longer holds the flow, and no other is
+        known.
     acknowledged : int or None
         Acknowledgement number of the caller's first packet after the
         opening; shows which host's acceptance the caller took.
@@ -126,7 +127,9 @@
         """Record the agent that reported that its host holds the flow."""
         self.agent = agent
         self.is_confirmed = True
+        self.has_lost_owner = False
         self.candidates.clear()
+        self.awaited.clear()
 
     def drop_candidate(self, agent: Address) -> None:
         """Remove an agent whose host does not hold the flow."""
--- a/chicorycart/steering/history.py
+++ b/chicorycart/steering/history.py
@@ -324,8 +324,6 @@
         has_restarted = is_full_restart(
             self.changes, listed, taken_over, vanished.unlocated
         )
-        if has_restarted:
-            self.directory.hasten_leaving()
         is_proven = vanished.are_all_known or has_restarted
         self.follower.is_proven_complete = (
             is_proven and not self.follower.is_relisting()
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -71,6 +71,14 @@
 repetition of its caller adds; the flow was most likely placed on one of the
 first candidates."""
 
+RETRY_BATCH = 64
+"""Undecided flows that are looked at in one turn; ranking the targets of each
+takes some 100 us."""
+
+MAX_UNDECIDED_SECONDS = 10.0
+"""Time after its caller's last packet for which a flow stays undecided; longer
+than any caller waits."""
+
 MIN_REPETITION_SECONDS = 0.1
 """Time after which a packet with an old sequence number counts as a repetition
 of the caller; before, the network may have reordered packets in flight.
@@ -88,10 +96,18 @@
 LEAVING_PROBE_SECONDS = 0.15
 """Interval between two probes of a leaving target."""
 
+ENDED_PROBE_SECONDS = 1.0
+"""Interval between two probes of a target that seems to have ended; small
+against the 4 s after a fault in which no bound holds."""
+
 MAX_UNANSWERED_PROBES = 6
 """Probes in a row without an answer after which a leaving target has ended:
 0.9 s, more than an agent takes to restart."""
 
+MAX_UNANSWERED_FIRST_PROBES = 3
+"""The same for a target that was never heard, known from the store's history
+alone: 0.45 s, in which callers of flows that ended are not reset."""
+
 LEAVING_SILENCE_SECONDS = 1.0
 MIN_UNANSWERED_QUESTIONS = 3
 """Time, and packets of searches in a row, without an answer after which the
@@ -99,9 +115,6 @@
 returns at once what it does not hold, and acknowledges what a caller repeats;
 callers repeat twice in 0.6 s."""
 
-PROBES_AFTER_RESTART = 2
-"""Unanswered probes that suffice if all hosts have just restarted."""
-
 SUSPENSION_SECONDS = 0.5
 """First time for which an unresponsive target is suspended; about as long as
 an agent takes to restart."""
--- a/chicorycart/steering/probes.py
+++ b/chicorycart/steering/probes.py
@@ -9,8 +9,10 @@
 from chicorycart.steering.directory import Directory
 from chicorycart.steering.directory import VanishedTarget
 from chicorycart.steering.health import HealthTable
+from chicorycart.steering.limits import ENDED_PROBE_SECONDS
 from chicorycart.steering.limits import LEAVING_PROBE_SECONDS
 from chicorycart.steering.limits import LEAVING_SILENCE_SECONDS
+from chicorycart.steering.limits import MAX_UNANSWERED_FIRST_PROBES
 from chicorycart.steering.limits import MAX_UNANSWERED_PROBES
 from chicorycart.steering.limits import MIN_UNANSWERED_QUESTIONS
 from chicorycart.steering.limits import PROBE_INTERVAL_SECONDS
@@ -32,7 +34,8 @@
     """Probes targets that may be alive.
 
     An answer ends the suspension of a suspended target. A leaving target
-    whose agent answers no more is gone, if other agents answer meanwhile.
+    whose agent answers no more has ended, if other agents answer meanwhile; it
+    is probed on, so that a fault of the network does not end it for good.
 
     Parameters
     ----------
@@ -77,44 +80,38 @@
                 self.health.forget(agent)
         now = self.health.clock.now()
         due = [
-            leaving
-            for leaving in self.directory.list_leaving()
-            if now - leaving.probed_at >= LEAVING_PROBE_SECONDS
+            vanished
+            for vanished in self.directory.list_drained()
+            if now - vanished.probed_at >= find_probe_interval(vanished)
         ]
-        for leaving in due:
-            self.probe_leaving(leaving)
+        for vanished in due:
+            self.probe_drained(vanished)
         if due:
             self.probe_control()
 
-    def probe_leaving(self, leaving: VanishedTarget) -> None:
-        """Probe a leaving target, or discard it after too many probes.
+    def probe_drained(self, vanished: VanishedTarget) -> None:
+        """Probe a target that vanished while draining.
 
         A probe does not count if no agent at all was heard since: the fault
         may be here.
         """
-        agent = leaving.target.agent
-        if self.health.was_heard_since(agent, leaving.probed_at):
-            leaving.unanswered_probes = 0
-        elif self.health.last_heard_at >= leaving.probed_at:
-            leaving.unanswered_probes += 1
+        agent = vanished.target.agent
+        if self.health.was_heard_since(agent, vanished.probed_at):
+            if not vanished.questions:
+                self.directory.record_heard(vanished)
+            vanished.unanswered_probes = 0
+        elif self.health.last_heard_at >= vanished.probed_at:
+            vanished.unanswered_probes += 1
         now = self.health.clock.now()
-        if leaving.unanswered_probes >= MAX_UNANSWERED_PROBES:
-            self.discard(agent, "its agent is silent")
-            return
-        if (
-            leaving.questions >= MIN_UNANSWERED_QUESTIONS
-            and now - leaving.asked_at >= LEAVING_SILENCE_SECONDS
-        ):
-            self.discard(agent, "its host is silent")
-            return
-        leaving.probed_at = now
+        reason = find_end_reason(vanished, now)
+        if reason is not None and not vanished.has_ended:
+            self.directory.record_end(vanished, reason)
+            if vanished.unanswered_probes:
+                # Its agent's next word shows that the host may live.
+                vanished.questions = 0
+        vanished.probed_at = now
         self.sender.send(MessageKind.PROBE, b"", agent)
 
-    def discard(self, agent: Address, reason: str) -> None:
-        """Discard a leaving target whose host has ended."""
-        self.directory.discard_leaving(agent, reason)
-        self.health.forget(agent)
-
     def probe_control(self) -> None:
         """Probe a listed target, another one each time."""
         members = list(self.directory.members.values())
@@ -124,6 +121,32 @@
             self.sender.send(MessageKind.PROBE, b"", agent)
 
 
+def find_probe_interval(vanished: VanishedTarget) -> float:
+    """Return the time in seconds between two probes of a target."""
+    return ENDED_PROBE_SECONDS if vanished.has_ended else LEAVING_PROBE_SECONDS
+
+
+def find_end_reason(vanished: VanishedTarget, now: float) -> str | None:
+    """Return why the host of a leaving target has ended; None if it may live.
+
+    A target that was never heard needs fewer probes: the history names all
+    that left in the last seconds, most of which have ended.
+    """
+    limit = (
+        MAX_UNANSWERED_PROBES
+        if vanished.was_heard
+        else MAX_UNANSWERED_FIRST_PROBES
+    )
+    if vanished.unanswered_probes >= limit:
+        return "its agent is silent"
+    if (
+        vanished.questions >= MIN_UNANSWERED_QUESTIONS
+        and now - vanished.asked_at >= LEAVING_SILENCE_SECONDS
+    ):
+        return "its host is silent"
+    return None
+
+
 class ProbeResponder:
     """Answers probes with the host's load while the host is responsive.
 
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -1,5 +1,6 @@
 """Finds the host of an open flow that a balancer has no state for."""
 
+from collections import deque
 from collections import OrderedDict
 
 from chicorycart.address import Address
@@ -10,7 +11,9 @@
 from chicorycart.steering.held import HeldPackets
 from chicorycart.steering.history import HistoryCheck
 from chicorycart.steering.limits import MAX_PARKED
+from chicorycart.steering.limits import MAX_UNDECIDED_SECONDS
 from chicorycart.steering.limits import MIN_REPETITION_SECONDS
+from chicorycart.steering.limits import RETRY_BATCH
 from chicorycart.steering.limits import SEARCH_GROUP
 from chicorycart.steering.output import join_agents
 from chicorycart.steering.output import SteererOutput
@@ -51,12 +54,13 @@
     held : HeldPackets
         Packets of the flows whose owners are searched for.
     undecided : dict of bytes to Segment
-        Last packet of each flow that no listed target holds and that can't
-        be reset yet, since a live target may be missing in the list or a
-        leaving one may still answer.
+        Last packet of each flow that only unlisted targets may hold: it goes
+        to leaving ones, or a live one may be missing in the list.
+    due : deque of bytes
+        Undecided flows to look at again.
     last_changes : tuple of (int, bool)
-        What was known of the targets when these flows were last looked at:
-        the number of changes of the list, and whether it was complete.
+        What was known of the targets when `due` was filled: the number of
+        changes of the list, and whether it was complete.
     """
 
     __slots__ = (
@@ -68,6 +72,7 @@
         "history",
         "held",
         "undecided",
+        "due",
         "last_changes",
     )
 
@@ -87,6 +92,7 @@
         self.history = history
         self.held = HeldPackets()
         self.undecided: OrderedDict[bytes, Segment] = OrderedDict()
+        self.due: deque[bytes] = deque()
         self.last_changes = (0, False)
 
     def begin(self, segment: Segment) -> SteeredFlow | None:
@@ -129,8 +135,8 @@
     def add_candidates(self, state: SteeredFlow) -> list[Address]:
         """Add the next group of targets to the candidates of a flow.
 
-        Suspended targets are added in passing: they may hold the flow, but
-        are not expected to answer, so that they delay none of the others.
+        Suspended and silent targets are added in passing: they may hold the
+        flow, but are not expected to answer, so that they delay no others.
 
         Returns
         -------
@@ -148,7 +154,7 @@
         awaited = []
         for agent in remaining[: 2 * SEARCH_GROUP]:
             added.append(agent)
-            if not self.health.is_suspended(agent):
+            if self.is_responsive(agent):
                 awaited.append(agent)
             if len(awaited) == SEARCH_GROUP:
                 break
@@ -159,6 +165,12 @@
             state.is_confirmed = False
         return added
 
+    def is_responsive(self, agent: Address) -> bool:
+        """Tell whether a target is expected to answer at once."""
+        return not (
+            self.health.is_suspended(agent) or self.directory.is_silent(agent)
+        )
+
     def list_remaining_owners(self, state: SteeredFlow) -> list[Address]:
         """Return the known agents that were not asked for a flow yet."""
         return [
@@ -166,7 +178,7 @@
             for agent in state.possible_owners
             if agent not in state.non_owners
             and agent not in state.candidates
-            and self.directory.is_known(agent.host)
+            and self.directory.is_possible_owner(agent)
         ]
 
     def forward(self, state: SteeredFlow, segment: Segment) -> None:
@@ -188,15 +200,19 @@
             self.output.count("held")
             return
         if not state.candidates and state.agent in state.non_owners:
-            self.keep_undecided(segment)
-            self.output.count("unheld")
+            self.give_up(state, segment)
             return
         self.ask(state, segment, state.candidates or [state.agent])
 
     def send_to_owner(self, state: SteeredFlow, segment: Segment) -> None:
-        """Send a packet to the confirmed owner, unless its host has ended."""
+        """Send a packet to the confirmed owner, unless its host has ended.
+
+        In that case the others are asked before the flow is reset, since its
+        caller may have used the five-tuple for another flow.
+        """
         if self.directory.has_ended(state.agent):
-            self.reset(segment, "its host has ended")
+            state.non_owners.append(state.agent)
+            self.lose_owner(state, segment, state.agent)
             return
         if self.directory.is_leaving(state.agent):
             self.keep_undecided(segment)
@@ -244,6 +260,9 @@
             state.candidates.append(state.agent)
         unanswered = list(state.candidates)
         added = self.add_candidates(state)
+        if not self.output.follower.is_history_checked:
+            # An owner that is not listed may be in the history.
+            self.history.request_check()
         self.output.record(
             "flow_doubted",
             state.flow,
@@ -266,14 +285,20 @@
             elif len(state.candidates) == 1:
                 self.send_waiting(state)
         elif agent == state.agent and not state.candidates:
-            state.has_lost_owner |= state.is_confirmed
-            state.is_confirmed = False
-            self.ask_next(state, segment, agent)
+            self.lose_owner(state, segment, agent)
         elif not state.is_confirmed:
             self.held.add(segment)
         elif self.held.find(state.flow).mark_seen(segment):
             self.send_to_owner(state, segment)
 
+    def lose_owner(
+        self, state: SteeredFlow, segment: Segment, agent: Address
+    ) -> None:
+        """Search for a flow whose supposed owner does not hold it."""
+        state.has_lost_owner |= state.is_confirmed
+        state.is_confirmed = False
+        self.ask_next(state, segment, agent)
+
     def ask_next(
         self, state: SteeredFlow, segment: Segment, before: Address
     ) -> None:
@@ -358,7 +383,13 @@
         self.output.reset_flow(segment, reason)
 
     def keep_undecided(self, segment: Segment) -> None:
-        """Keep a flow's last packet until the flow can be decided on."""
+        """Keep a flow's last packet until the flow can be decided on.
+
+        A flow that its caller ends needs no decision.
+        """
+        if segment.is_closing:
+            self.undecided.pop(segment.flow, None)
+            return
         self.undecided[segment.flow] = segment
         if len(self.undecided) > MAX_PARKED:
             self.undecided.popitem(last=False)
@@ -375,16 +406,25 @@
         includes that leaving targets proved to have ended.
         """
         is_complete = self.output.follower.knows_all_targets()
-        changes = (self.directory.changes, is_complete)
         if self.undecided and not is_complete:
             self.history.request_check()
-        if changes == self.last_changes:
-            return
-        self.last_changes = changes
-        for flow, segment in list(self.undecided.items()):
+        changes = (self.directory.changes, is_complete)
+        if not self.due and changes != self.last_changes:
+            self.last_changes = changes
+            self.due.extend(self.undecided)
+        oldest = self.health.clock.now() - MAX_UNDECIDED_SECONDS
+        for _ in range(min(len(self.due), RETRY_BATCH)):
+            flow = self.due.popleft()
+            segment = self.undecided.get(flow)
+            if segment is None:
+                continue
             # FlowCache.find would keep the idle flow from being dropped.
             state = self.output.flows.flows.get(flow)
-            if state is None or not state.is_open:
+            if (
+                state is None
+                or not state.is_open
+                or state.last_active_at < oldest
+            ):
                 del self.undecided[flow]
             elif state.is_confirmed:
                 self.retry_confirmed(state, segment)
@@ -423,8 +463,8 @@
             self.give_up(state, segment)
 
     def drop_gone_candidates(self, state: SteeredFlow) -> None:
-        """Remove the candidates that are no longer known as targets."""
+        """Remove the candidates that hold no flows any more."""
         for agent in list(state.candidates):
-            if not self.directory.is_known(agent.host):
+            if not self.directory.is_possible_owner(agent):
                 state.drop_candidate(agent)
                 state.non_owners.append(agent)
