Drop a packet whose search had no room for all owners

Callers of a service with many displaced flows saw open flows reset though their owner was alive. A search adds the recorded owners of the bucket until its list holds 12 agents and left out the rest in silence; at its end the packet was reset as if all had been asked. With 20 recorded owners 11 were asked, and no candidate that the balancer's chain did not name.

The search now marks a packet whose list was cut as it marks one of an agent that is not settled, so that the last agent drops it (outcome `search cut`) and the caller repeats it. Recorded owners stood in random order already; candidates are mixed in if the owners leave no room for them, so that repeats reach all of them. Sends, header and bounds stay as they are.

Seen failing first, 30 packets of one flow among 20 recorded owners:

ASSERT FAILED: Counter({'reset': 30})

After: 30 dropped, each owner and candidate asked. `tests.run tests/agent`: 11 passed, 0 failed; `tests.run tests/flows`: 73 passed, 0 failed. The price: a flow without an owner stalls for as long as more owners of its bucket are recorded than a search holds (their leases last 90 s).

--- a/chicorycart/agent/search.py
+++ b/chicorycart/agent/search.py
@@ -76,7 +76,7 @@
             self.output.send_to(forward, packet, agent, "placed there")
             return
         bucket = bucket_of(hash_flow(packet.flow))
-        self.extend(forward, self.list_recorded(bucket))
+        self.extend(forward, self.list_recorded(forward, bucket))
         if not self.has_next(forward):
             self.extend(forward, self.service_agents.chain(bucket))
         if not self.is_settled(forward):
@@ -111,10 +111,13 @@
 
         While versions and records may still be on their way to an agent
         that had the packet, it is dropped: its repeat may find the owner.
-        So it is while any agent of the service is suspected: it may own the
+        So it is if there was no room for all agents that may own the flow,
+        and while any agent of the service is suspected: it may own the
         flow on the other side of a partition, where balancers reach it.
         """
-        if forward.unsettled:
+        if forward.unsettled and len(forward.chain) >= MAX_SEARCH_LENGTH:
+            self.output.drop(forward, packet, "search cut")
+        elif forward.unsettled:
             self.output.drop(forward, packet, "no owner yet")
         elif self.service_agents.has_suspected_agents():
             self.output.drop(forward, packet, "owner may be cut off")
@@ -127,19 +130,31 @@
             return False
         return self.settling.is_settled()
 
-    def list_recorded(self, bucket: int) -> list[int]:
-        """Return the recorded owners of the bucket in random order."""
+    def list_recorded(self, forward: Forward, bucket: int) -> list[int]:
+        """Return the recorded owners of the bucket in random order.
+
+        If they leave no room for the candidates, these are mixed in, so
+        that repeats of the packet reach all of them.
+        """
         owners = self.records.owners_of(bucket)
+        if len(forward.chain) + len(owners) >= MAX_SEARCH_LENGTH:
+            owners += self.service_agents.chain(bucket)
         self.random.shuffle(owners)
         return owners
 
     def extend(self, forward: Forward, agents: Iterable[int]) -> None:
-        """Add agents to the chain, each once and not this one."""
+        """Add agents to the chain, each once and not this one.
+
+        If there is no room for all, the search cannot tell that the flow
+        has no owner.
+        """
         for agent in agents:
+            if agent == self.service_agents.own or agent in forward.chain:
+                continue
             if len(forward.chain) >= MAX_SEARCH_LENGTH:
+                forward.unsettled = True
                 return
-            if agent != self.service_agents.own and agent not in forward.chain:
-                forward.chain.append(agent)
+            forward.chain.append(agent)
 
     def put_suspected_last(self, forward: Forward) -> None:
         """Offer the packet to suspected agents after all others.
--- /dev/null
+++ b/tests/agent/search.feature
@@ -0,0 +1,18 @@
+Feature: The search for the owner of an open flow
+
+  An agent passes on packets of flows that it does not own. A search must
+  not end in a reset while an agent that may own the flow was not asked.
+
+  # A search that ran out of room reset flows whose owner it had not asked.
+  Scenario: No flow is reset while the list of its possible owners is cut
+    Given an agent of a service of 8 targets
+    And 20 agents that left the service own flows of every bucket
+    When a caller sends a packet of an unknown flow 30 times
+    Then the flow was dropped 30 times for "search cut"
+    And each of the 20 owners and 3 candidates got the packet
+
+  Scenario: A flow without an owner is reset once all owners were asked
+    Given an agent of a service of 8 targets
+    And 4 agents that left the service own flows of every bucket
+    When a caller sends a packet of an unknown flow 1 times
+    Then the flow was reset
--- /dev/null
+++ b/tests/agent/search_steps.py
@@ -0,0 +1,179 @@
+"""Steps on the search for the owner of an open flow."""
+
+from collections import Counter
+from random import Random
+
+from behave import given
+from behave import then
+from behave import when
+import dpkt
+
+from chicorycart.address import Address
+from chicorycart.address import pack_address
+from chicorycart.agent.search import OwnerSearch
+from chicorycart.configuration.model import Configuration
+from chicorycart.configuration.model import Entry
+from chicorycart.configuration.model import Service
+from chicorycart.configuration.model import ServiceKind
+from chicorycart.configuration.model import Target
+from chicorycart.configuration.model import TargetState
+from chicorycart.configuration.store import ConfigurationStore
+from chicorycart.defaults import BUCKETS_PER_SERVICE
+from chicorycart.defaults import MAX_LEASE_SECONDS
+from chicorycart.defaults import SETTLING_SECONDS
+from chicorycart.defaults import TICK_SECONDS
+from chicorycart.flows.messages import OwnerRecord
+from chicorycart.flows.openings import OpeningMemory
+from chicorycart.flows.records import OwnerRecords
+from chicorycart.flows.service_agents import ServiceAgents
+from chicorycart.flows.settling import Settling
+from chicorycart.packets.flow import hash_flow
+from chicorycart.packets.forward import Forward
+from chicorycart.packets.ipv4 import parse_packet
+from chicorycart.placement.chain import bucket_of
+from tests.standins.segments import build_packet
+
+CALLER = Address("198.18.0.1", 40_000)
+ENTRY = Address("203.0.113.1", 80)
+SERVICE = "dispatch"
+ALL_BUCKETS = frozenset(range(BUCKETS_PER_SERVICE))
+
+
+class ManualClock:
+    """A clock that a step sets."""
+
+    def __init__(self):
+        self.time = 0.0
+
+    def now(self):
+        return self.time
+
+
+class RecordingOutput:
+    """Records what a search does with each packet."""
+
+    def __init__(self):
+        self.sent = Counter()
+        self.outcomes = Counter()
+        self.is_over = False
+
+    def send_to(self, forward, packet, agent, reason):
+        self.sent[agent] += 1
+        forward.hops += 1
+
+    def drop(self, forward, packet, reason):
+        self.outcomes[reason] += 1
+        self.is_over = True
+
+    def reset(self, forward, packet):
+        self.outcomes["reset"] += 1
+        self.is_over = True
+
+    def count(self, outcome):
+        self.outcomes[outcome] += 1
+
+
+def pack_agent(number):
+    return pack_address(Address(f"192.0.2.{number}", 7001))
+
+
+def make_configuration(version, count):
+    targets = tuple(
+        Target(
+            f"t-{number}", Address(f"192.0.2.{number}", 7001), "a", 1.0, 2,
+            TargetState.ACTIVE,
+        )
+        for number in range(1, count + 1)
+    )  # fmt: skip
+    service = Service(SERVICE, Entry(ENTRY, 6), ServiceKind.HTTP, targets)
+    return Configuration(version, {SERVICE: service})
+
+
+@given("an agent of a service of {count:d} targets")
+def make_agent(context, count):
+    clock = context.clock = ManualClock()
+    context.store = ConfigurationStore(clock)
+    context.store.put_in_force(make_configuration(1, count))
+    context.packet = parse_packet(
+        build_packet(
+            CALLER,
+            ENTRY,
+            dpkt.tcp.TCP(seq=1, ack=1, flags=dpkt.tcp.TH_ACK, data=b"x"),
+        )
+    )
+    bucket = bucket_of(hash_flow(context.packet.flow))
+    service = context.store.current.services[SERVICE]
+    agents = ServiceAgents(context.store, SERVICE, pack_agent(1), clock)
+    context.candidates = agents.candidates(bucket)
+    context.service_agents = ServiceAgents(
+        context.store, SERVICE, context.candidates[0], clock
+    )
+    context.service = service.identifier
+    context.records = OwnerRecords(clock)
+    context.output = RecordingOutput()
+    context.search = OwnerSearch(
+        context.output,
+        context.service_agents,
+        context.records,
+        OpeningMemory(clock),
+        OpeningMemory(clock),
+        Settling(clock, context.service_agents),
+        Random(1),
+    )
+    settle(context)
+
+
+def settle(context):
+    """Let the time pass after which the agent relies on what it knows."""
+    for _ in range(int(SETTLING_SECONDS / TICK_SECONDS)):
+        context.clock.time += TICK_SECONDS
+        context.search.settling.tick()
+
+
+@given("{count:d} agents that left the service own flows of every bucket")
+def record_owners(context, count):
+    context.owners = [pack_agent(100 + number) for number in range(count)]
+    for owner in context.owners:
+        context.service_agents.remember(owner)
+        context.records.store(
+            OwnerRecord(
+                context.service, owner, 1, 1, MAX_LEASE_SECONDS, ALL_BUCKETS
+            )
+        )
+
+
+@when("a caller sends a packet of an unknown flow {count:d} times")
+def send_packets(context, count):
+    for _ in range(count):
+        search(context)
+
+
+def search(context):
+    """Pass on a packet until its search ends.
+
+    No other agent owns the flow, and all know the same as this one.
+    """
+    output = context.output
+    output.is_over = False
+    forward = Forward(
+        1, context.service, [context.service_agents.own], b"", hops=1
+    )
+    while not output.is_over:
+        context.search.forward_to_next(forward, context.packet)
+
+
+@then('the flow was dropped {count:d} times for "{reason}"')
+def check_dropped(context, count, reason):
+    assert context.output.outcomes == {reason: count}, context.output.outcomes
+
+
+@then("the flow was reset")
+def check_reset(context):
+    assert context.output.outcomes == {"reset": 1}, context.output.outcomes
+
+
+@then("each of the {owners:d} owners and {others:d} candidates got the packet")
+def check_asked(context, owners, others):
+    agents = {*context.owners, *context.candidates[1:]}
+    assert len(agents) == owners + others
+    assert set(context.output.sent) == agents, len(context.output.sent)
