Reset no flow while a removed agent is silent

A target whose agent was cut off lost its suspicion together with its entry: agents looked for suspected ones among the targets in force only. Callers whose balancer no longer named the target (restarted, or past its replaced versions) had open flows reset 12 s after the removal, while balancers on the agent's side still reached their owner.

Heartbeats track an agent that left the configuration until it was silent for 60 s. The leases are now asked by address, so an agent that is no target any more counts: nothing is reset while its lease is lapsed, and packets are offered to it last. `PeerAgentTable.is_suspected` had no caller left but two test steps, which now ask `is_lapsed` for the same agent; the stand-in `Suspects` answers by address too.

Seen failing first, 20 s after the removal of a silent target:

ASSERT FAILED: Counter({'reset': 1})

After: dropped as `owner may be cut off`, and reset once it is no longer tracked. The price: a flow without an owner stalls for up to a minute after the agent of a removed target falls silent. An owner cut off and removed for longer than that is still given up.

--- a/chicorycart/flows/service_agents.py
+++ b/chicorycart/flows/service_agents.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from typing import Protocol
 
 from chicorycart.address import pack_address
 from chicorycart.clock import Clock
@@ -13,7 +14,33 @@
 from chicorycart.placement.chain import build_chain
 from chicorycart.placement.chain import choose_candidates
 from chicorycart.placement.chain import NoSuspicions
-from chicorycart.placement.chain import Suspicions
+
+
+class AgentLeases(Protocol):
+    """Knows which agents sent no heartbeat for the time of a lease.
+
+    These include agents that left the configuration not long ago.
+    """
+
+    def is_lapsed(self, agent: int) -> bool:
+        """Return whether the agent (packed address) is silent."""
+
+    def has_lapsed_agents(self) -> bool:
+        """Return whether any agent of the service is silent."""
+
+
+class EndlessLeases:
+    """Takes no agent for silent."""
+
+    __slots__ = ()
+
+    def is_lapsed(self, agent: int) -> bool:
+        """Return False."""
+        return False
+
+    def has_lapsed_agents(self) -> bool:
+        """Return False."""
+        return False
 
 
 def pack_agents(targets: Iterable[Target]) -> list[int]:
@@ -34,8 +61,8 @@
         Packed address of this agent.
     clock : Clock
         Records when the service changed.
-    suspicions : Suspicions
-        Agents that are suspected to be dead and get no packets.
+    leases : AgentLeases
+        Silent agents, which are suspected to be dead and get no packets.
 
     Attributes
     ----------
@@ -57,7 +84,7 @@
         "name",
         "own",
         "clock",
-        "suspicions",
+        "leases",
         "known",
         "changed_at",
         "service",
@@ -70,13 +97,13 @@
         name: str,
         own: int,
         clock: Clock,
-        suspicions: Suspicions | None = None,
+        leases: AgentLeases | None = None,
     ):
         self.store = store
         self.name = name
         self.own = own
         self.clock = clock
-        self.suspicions = suspicions or NoSuspicions()
+        self.leases = leases or EndlessLeases()
         self.known: OrderedDict[int, None] = OrderedDict()
         self.changed_at = float("-inf")
         self.service: Service | None = None
@@ -113,12 +140,14 @@
 
     def is_suspected(self, agent: int) -> bool:
         """Return whether the agent is suspected to be dead."""
-        target = self.targets.get(agent)
-        return target is not None and self.suspicions.is_suspected(target)
+        return self.leases.is_lapsed(agent)
 
     def has_suspected_agents(self) -> bool:
-        """Return whether any agent of the service is suspected."""
-        return any(map(self.suspicions.is_suspected, self.targets.values()))
+        """Return whether any agent of the service is suspected.
+
+        One that left the configuration may still own flows.
+        """
+        return self.leases.has_lapsed_agents()
 
     def can_receive(self, agent: int) -> bool:
         """Return whether the agent is known and not suspected."""
--- a/chicorycart/membership/peer_agents.py
+++ b/chicorycart/membership/peer_agents.py
@@ -6,10 +6,8 @@
 
 from logbook import Logger
 
-from chicorycart.address import pack_address
 from chicorycart.address import unpack_address
 from chicorycart.clock import Clock
-from chicorycart.configuration.model import Target
 from chicorycart.defaults import DEPARTED_PEER_AGENT_SECONDS
 from chicorycart.defaults import HEARTBEAT_LEASE_SECONDS
 from chicorycart.defaults import MAX_PEER_AGENTS
@@ -215,9 +213,9 @@
             and peer_agent.state is PeerAgentState.LAPSED
         )
 
-    def is_suspected(self, target: Target) -> bool:
-        """Return whether the lease of the target's agent has lapsed."""
-        return self.is_lapsed(pack_address(target.agent))
+    def has_lapsed_agents(self) -> bool:
+        """Return whether any peer agent's lease ended."""
+        return any(map(self.is_lapsed, self.peer_agents))
 
     def has_recent_contact(self) -> bool:
         """Return whether a peer agent sent a heartbeat within half a lease.
--- a/tests/agent/search.feature
+++ b/tests/agent/search.feature
@@ -16,3 +16,15 @@
     And 4 agents that left the service own flows of every bucket
     When a caller sends a packet of an unknown flow 1 times
     Then the flow was reset
+
+  # The suspicion of an owner ended with its entry, and its flows were reset.
+  Scenario: No flow is reset while a removed agent is silent
+    Given an agent of a service of 8 targets
+    When target 9, which is no candidate, joins and falls silent
+    And it is removed from the configuration
+    And 20 s pass
+    And a caller sends a packet of an unknown flow 1 times
+    Then the flow was dropped 1 times for "owner may be cut off"
+    When 60 s pass
+    And a caller sends a packet of an unknown flow 1 times
+    Then the flow was reset at last
--- a/tests/agent/search_steps.py
+++ b/tests/agent/search_steps.py
@@ -25,12 +25,17 @@
 from chicorycart.flows.messages import OwnerRecord
 from chicorycart.flows.openings import OpeningMemory
 from chicorycart.flows.records import OwnerRecords
+from chicorycart.flows.service_agents import pack_agents
 from chicorycart.flows.service_agents import ServiceAgents
 from chicorycart.flows.settling import Settling
+from chicorycart.membership.messages import Heartbeat
+from chicorycart.membership.peer_agents import PeerAgentTable
 from chicorycart.packets.flow import hash_flow
 from chicorycart.packets.forward import Forward
 from chicorycart.packets.ipv4 import parse_packet
 from chicorycart.placement.chain import bucket_of
+from chicorycart.placement.chain import choose_candidates
+from chicorycart.placement.load import Load
 from tests.standins.segments import build_packet
 
 CALLER = Address("198.18.0.1", 40_000)
@@ -77,11 +82,12 @@
     return pack_address(Address(f"192.0.2.{number}", 7001))
 
 
-def make_configuration(version, count):
+def make_configuration(version, count, state=TargetState.ACTIVE):
+    """Return a version with targets, the last one in the given state."""
     targets = tuple(
         Target(
             f"t-{number}", Address(f"192.0.2.{number}", 7001), "a", 1.0, 2,
-            TargetState.ACTIVE,
+            state if number == count else TargetState.ACTIVE,
         )
         for number in range(1, count + 1)
     )  # fmt: skip
@@ -103,12 +109,20 @@
     )
     bucket = bucket_of(hash_flow(context.packet.flow))
     service = context.store.current.services[SERVICE]
-    agents = ServiceAgents(context.store, SERVICE, pack_agent(1), clock)
-    context.candidates = agents.candidates(bucket)
+    context.candidates = pack_agents(choose_candidates(service, bucket))
+    context.service = service.identifier
+    context.peer_agents = PeerAgentTable(
+        clock, context.candidates[0], context.service
+    )
     context.service_agents = ServiceAgents(
-        context.store, SERVICE, context.candidates[0], clock
+        context.store,
+        SERVICE,
+        context.candidates[0],
+        clock,
+        context.peer_agents,
     )
-    context.service = service.identifier
+    context.silent = None
+    context.sequence = 0
     context.records = OwnerRecords(clock)
     context.output = RecordingOutput()
     context.search = OwnerSearch(
@@ -120,14 +134,47 @@
         Settling(clock, context.service_agents),
         Random(1),
     )
-    settle(context)
+    pass_time(context, SETTLING_SECONDS)
 
 
-def settle(context):
-    """Let the time pass after which the agent relies on what it knows."""
-    for _ in range(int(SETTLING_SECONDS / TICK_SECONDS)):
+@when("{seconds:d} s pass")
+def pass_time(context, seconds):
+    """Let time pass in which all targets of the service are heard."""
+    for _ in range(int(seconds / TICK_SECONDS)):
         context.clock.time += TICK_SECONDS
         context.search.settling.tick()
+        targets = set(context.service_agents.targets)
+        for agent in targets - {context.silent}:
+            hear(context, agent)
+        context.peer_agents.check(targets)
+
+
+def hear(context, agent):
+    context.sequence += 1
+    context.peer_agents.record_heartbeat(
+        Heartbeat(
+            agent, context.service, 1, context.sequence, 1, Load(0, 0, 1.0)
+        )
+    )
+
+
+@when("target {number:d}, which is no candidate, joins and falls silent")
+def silence_joining(context, number):
+    put_in_force(context, number, TargetState.DRAINING)
+    pass_time(context, SETTLING_SECONDS)
+    context.silent = pack_agent(number)
+    pass_time(context, SETTLING_SECONDS)
+    assert context.peer_agents.is_lapsed(context.silent)
+
+
+@when("it is removed from the configuration")
+def remove_last(context):
+    put_in_force(context, len(context.service_agents.targets) - 1)
+
+
+def put_in_force(context, count, state=TargetState.ACTIVE):
+    version = context.store.current.version + 1
+    context.store.put_in_force(make_configuration(version, count, state))
 
 
 @given("{count:d} agents that left the service own flows of every bucket")
@@ -156,7 +203,11 @@
     output = context.output
     output.is_over = False
     forward = Forward(
-        1, context.service, [context.service_agents.own], b"", hops=1
+        context.store.current.version,
+        context.service,
+        [context.service_agents.own],
+        b"",
+        hops=1,
     )
     while not output.is_over:
         context.search.forward_to_next(forward, context.packet)
@@ -167,6 +218,11 @@
     assert context.output.outcomes == {reason: count}, context.output.outcomes
 
 
+@then("the flow was reset at last")
+def check_reset_at_last(context):
+    assert context.output.outcomes["reset"] == 1, context.output.outcomes
+
+
 @then("the flow was reset")
 def check_reset(context):
     assert context.output.outcomes == {"reset": 1}, context.output.outcomes
--- a/tests/flows/lapses_steps.py
+++ b/tests/flows/lapses_steps.py
@@ -31,7 +31,7 @@
     suspects = Suspects()
     suspects.names.add(f"t-{number}")
     for agent in fleet.agents.values():
-        agent.ownership.delivery.service_agents.suspicions = suspects
+        agent.ownership.delivery.service_agents.leases = suspects
     for balancer in fleet.balancers.values():
         balancer.suspect(number)
 
@@ -56,7 +56,7 @@
             for number, agent in fleet.agents.items()
             if (agent in context.side) != (node in context.side)
         }
-        node.ownership.delivery.service_agents.suspicions = suspects
+        node.ownership.delivery.service_agents.leases = suspects
 
 
 @then("each of them got all its answers")
--- a/tests/membership/peer_agents_steps.py
+++ b/tests/membership/peer_agents_steps.py
@@ -71,5 +71,5 @@
 @then('"{name}" suspects "{other}" within {seconds:d} s')
 def check_suspects(context, name, other, seconds):
     table = context.fleet.peer_agents_of(name)
-    target = context.fleet.targets[other]
-    wait_until(context, lambda: table.is_suspected(target), seconds)
+    agent = context.fleet.pack(other)
+    wait_until(context, lambda: table.is_lapsed(agent), seconds)
--- a/tests/membership/suspicion_steps.py
+++ b/tests/membership/suspicion_steps.py
@@ -268,12 +268,12 @@
 @then('its peer agents suspect "{name}" within {seconds:d} s')
 def check_peer_agents(context, name, seconds):
     peer_agents = [n for n in list_agents(context) if n != name]
-    target = context.fleet.targets[name]
+    agent = context.fleet.pack(name)
     assert peer_agents
     wait_until(
         context,
         lambda: all(
-            context.fleet.peer_agents_of(peer_agent).is_suspected(target)
+            context.fleet.peer_agents_of(peer_agent).is_lapsed(agent)
             for peer_agent in peer_agents
         ),
         seconds,
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -15,6 +15,7 @@
 
 from chicorycart.address import Address
 from chicorycart.address import pack_address
+from chicorycart.address import unpack_address
 from chicorycart.agent.acceptance import TargetAcceptance
 from chicorycart.agent.ownership import FlowOwnership
 from chicorycart.balancer.forwarding import ChainCache
@@ -183,6 +184,15 @@
         """Tell whether the target is among the names."""
         return target.name in self.names
 
+    def is_lapsed(self, agent):
+        """Tell whether the target of the agent is among the names."""
+        number = unpack_address(agent).host.rpartition(".")[2]
+        return f"t-{number}" in self.names
+
+    def has_lapsed_agents(self):
+        """Tell whether any target is among the names."""
+        return bool(self.names)
+
 
 class Node:
     """A daemon with its own view of the configuration."""
