Ask agents once more that left a question unanswered

One lost question or answer made an opening flow ownerless: after 0.1 s the asking agent went on without the answer and accepted a repeat of the opening packet, or a packet of a UDP flow, that another agent owned already. Callers saw a broken connection, or datagrams of one flow at two hosts.

Agents that have not answered after 0.07 s are asked once more with the same number, so that a repetition is to receivers what a doubled message is; the models visit those, and nothing in them changes. The lookup still ends after 0.1 s. A round trip between two regions takes 60 ms by the figures in docs/membership.md, so that repetitions cost nothing where all answer; a loss between regions is not made up for within the time. By the figures of docs/CAPACITY.md an agent in the 75 s after a change, with two of the five asked silent, would send 2,900 of its 3,000 bytes a second at most (worked out: 2,210 and two fifths of 1,723).

Seen failing first, one query or one answer lost:

ASSERT FAILED: no owner

After: the owner is found, 2 queries to it and 1 to the agent that answered. `tests.run tests/flows`: 78 passed, 0 failed.

--- a/chicorycart/defaults.py
+++ b/chicorycart/defaults.py
@@ -129,6 +129,12 @@
 CLAIM_TIMEOUT_SECONDS = 0.1
 """Time for which an opening packet waits for claims of other agents."""
 
+CLAIM_REPEAT_SECONDS = 0.07
+"""Time after which agents that have not answered are asked once more.
+
+Longer than a round trip between two regions.
+"""
+
 MAX_PENDING_OPENINGS = 4_096
 """Opening packets of one agent that wait for claims."""
 
--- a/chicorycart/flows/lookups.py
+++ b/chicorycart/flows/lookups.py
@@ -7,6 +7,7 @@
 
 from chicorycart.address import unpack_address
 from chicorycart.clock import Clock
+from chicorycart.defaults import CLAIM_REPEAT_SECONDS
 from chicorycart.defaults import CLAIM_TIMEOUT_SECONDS
 from chicorycart.defaults import MAX_PENDING_OPENINGS
 from chicorycart.defaults import PAUSE_SECONDS
@@ -51,7 +52,8 @@
     asked_at : float
         When the query was sent.
     timer : TimerHandle
-        Ends the lookup after `CLAIM_TIMEOUT_SECONDS`.
+        Repeats the query after `CLAIM_REPEAT_SECONDS`, then ends the lookup
+        after `CLAIM_TIMEOUT_SECONDS`.
     """
 
     __slots__ = ("client", "waiting", "number", "asked_at", "timer")
@@ -141,15 +143,32 @@
         waiting = set(agents)
         self.number += 1
         timer = get_running_loop().call_later(
-            CLAIM_TIMEOUT_SECONDS, self.time_out, flow
+            CLAIM_REPEAT_SECONDS, self.repeat, flow
         )
-        self.pending[flow] = PendingLookup(
+        pending = PendingLookup(
             client, waiting, self.number, self.clock.now(), timer
         )
+        self.pending[flow] = pending
+        self.send_query(flow, pending)
+
+    def repeat(self, flow: bytes) -> None:
+        """Query the agents that have not answered once more.
+
+        The query or its answer may be lost. For a receiver this is a
+        duplicate of the first query.
+        """
+        pending = self.pending[flow]
+        pending.timer = get_running_loop().call_later(
+            CLAIM_TIMEOUT_SECONDS - CLAIM_REPEAT_SECONDS, self.time_out, flow
+        )
+        self.send_query(flow, pending)
+
+    def send_query(self, flow: bytes, pending: PendingLookup) -> None:
+        """Query every agent that has not answered."""
         own = self.service_agents.own
-        query = OwnerQuery(self.service, own, flow, self.number)
+        query = OwnerQuery(self.service, own, flow, pending.number)
         body = encode_query(query)
-        for agent in sorted(waiting):
+        for agent in sorted(pending.waiting):
             self.sender.send(
                 MessageKind.OWNER_QUERY, body, unpack_address(agent)
             )
