Log, count and heed owner records that there is no room for

An agent holds the records of 64 owners. That of the 65th was refused without a line, and packets of its displaced flows were reset at the end of a search as if their owner were gone.

A refusal is now logged (`record_refused`) and counted (`chicorycart_owner_records_refused`), and until the lease of a refused record that names buckets has expired, the agent does not count as one that knows all owners, so that packets of unknown flows are dropped instead of reset.

Seen failing first, 65 owners and a packet of a flow of the last one:

ASSERT FAILED: Counter({'reset': 1})

After: dropped, and reset once the lease has expired. `tests.run tests/agent`: 13 passed, `tests/flows`: 78 passed, 0 failed.

--- a/chicorycart/agent/ownership.py
+++ b/chicorycart/agent/ownership.py
@@ -93,7 +93,7 @@
         table = FlowTable(clock)
         memory = OpeningMemory(clock)
         recovery = FlowRecovery(connections, service_agents, table, random)
-        records = OwnerRecords(clock)
+        records = OwnerRecords(clock, registry)
         settling = Settling(clock, service_agents)
         output = PacketOutput(
             host, table, service_agents, sender, decisions, registry
--- a/chicorycart/agent/search.py
+++ b/chicorycart/agent/search.py
@@ -134,7 +134,7 @@
         """Tell whether this agent would know the owner if there were one."""
         if forward.version > self.service_agents.version:
             return False
-        if not self.recovery.is_done:
+        if not (self.recovery.is_done and self.records.is_complete()):
             return False
         return self.settling.is_settled()
 
--- a/chicorycart/flows/records.py
+++ b/chicorycart/flows/records.py
@@ -1,9 +1,16 @@
 """Stores the owner records received from other agents of the service."""
 
+from logbook import Logger
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+
+from chicorycart.address import unpack_address
 from chicorycart.clock import Clock
 from chicorycart.defaults import MAX_RECORD_OWNERS
 from chicorycart.flows.messages import OwnerRecord
 
+LOGGER = Logger("agent")
+
 
 class StoredRecord:
     """An owner record and the time at which its lease expires."""
@@ -22,13 +29,26 @@
     ----------
     clock : Clock
         Expires the records.
+    registry : CollectorRegistry
+        Where the counter is registered.
+
+    Attributes
+    ----------
+    incomplete_until : float
+        Time at which the last lease of a refused record expires.
     """
 
-    __slots__ = ("clock", "stored")
+    __slots__ = ("clock", "stored", "incomplete_until", "refused")
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, registry: CollectorRegistry):
         self.clock = clock
         self.stored: dict[int, StoredRecord] = {}
+        self.incomplete_until = float("-inf")
+        self.refused = Counter(
+            "chicorycart_owner_records_refused",
+            "Owner records refused for want of room.",
+            registry=registry,
+        )
 
     def __len__(self) -> int:
         return len(self.stored)
@@ -47,14 +67,30 @@
         """
         self.expire()
         stored = self.stored.get(record.owner)
-        if stored is None and len(self.stored) >= MAX_RECORD_OWNERS:
-            return False
         if stored is not None and not record.is_newer_than(stored.record):
             return False
         expiry = self.clock.now() + record.lease_seconds
+        if stored is None and len(self.stored) >= MAX_RECORD_OWNERS:
+            self.refuse(record, expiry)
+            return False
         self.stored[record.owner] = StoredRecord(record, expiry)
         return True
 
+    def refuse(self, record: OwnerRecord, expiry: float) -> None:
+        """Log a record that there is no room for."""
+        if record.buckets:
+            self.incomplete_until = max(self.incomplete_until, expiry)
+        self.refused.inc()
+        LOGGER.warning(
+            "event=record_refused agent={} agents={}",
+            unpack_address(record.owner),
+            len(self.stored),
+        )
+
+    def is_complete(self) -> bool:
+        """Return whether the record of every owner was stored."""
+        return self.incomplete_until <= self.clock.now()
+
     def owners_of(self, bucket: int) -> list[int]:
         """Return the agents that announced displaced flows of the bucket."""
         now = self.clock.now()
--- a/tests/agent/search.feature
+++ b/tests/agent/search.feature
@@ -28,3 +28,15 @@
     When 60 s pass
     And a caller sends a packet of an unknown flow 1 times
     Then the flow was reset at last
+
+  # The record of the 65th owner was refused in silence, and its flows reset.
+  Scenario: No flow is reset while the record of an owner was refused
+    Given an agent of a service of 8 targets
+    And 64 agents that left the service own flows of another bucket
+    And 1 agents that left the service own flows of every bucket
+    When a caller sends a packet of an unknown flow 1 times
+    Then the flow was dropped 1 times for "no owner yet"
+    And 1 record was refused for want of room
+    When 600 s pass
+    And a caller sends a packet of an unknown flow 1 times
+    Then the flow was reset at last
--- a/tests/agent/search_steps.py
+++ b/tests/agent/search_steps.py
@@ -7,6 +7,7 @@
 from behave import then
 from behave import when
 import dpkt
+from prometheus_client import CollectorRegistry
 
 from chicorycart.address import Address
 from chicorycart.address import pack_address
@@ -132,7 +133,8 @@
     )
     context.silent = None
     context.sequence = 0
-    context.records = OwnerRecords(clock)
+    context.registry = CollectorRegistry()
+    context.records = OwnerRecords(clock, context.registry)
     context.output = RecordingOutput()
     context.search = OwnerSearch(
         context.output,
@@ -194,14 +196,25 @@
 
 @given("{count:d} agents that left the service own flows of every bucket")
 def record_owners(context, count):
-    context.owners = [pack_agent(100 + number) for number in range(count)]
-    for owner in context.owners:
+    context.owners = store_records(context, 100, count, ALL_BUCKETS)
+
+
+@given("{count:d} agents that left the service own flows of another bucket")
+def record_other_owners(context, count):
+    bucket = bucket_of(hash_flow(context.packet.flow))
+    store_records(context, 150, count, frozenset({bucket ^ 1}))
+
+
+def store_records(context, first, count, buckets):
+    owners = [pack_agent(first + number) for number in range(count)]
+    for owner in owners:
         context.service_agents.remember(owner)
         context.records.store(
             OwnerRecord(
-                context.service, owner, 1, 1, MAX_LEASE_SECONDS, ALL_BUCKETS
+                context.service, owner, 1, 1, MAX_LEASE_SECONDS, buckets
             )
         )
+    return owners
 
 
 @when("a caller sends a packet of an unknown flow {count:d} times")
@@ -248,3 +261,9 @@
     agents = {*context.owners, *context.candidates[1:]}
     assert len(agents) == owners + others
     assert set(context.output.sent) == agents, len(context.output.sent)
+
+
+@then("{count:d} record was refused for want of room")
+def check_refused(context, count):
+    name = "chicorycart_owner_records_refused_total"
+    assert context.registry.get_sample_value(name) == count
