Reset no flow after an unknown agent of its chain was passed over

An agent that starts after a target was removed does not know its agent, which balancers name in chains for another 60 s. It passed the owner over, and once it was settled the search of a displaced flow could end in a reset though nobody had asked the owner; the owner's record did not help, since the search was past its place in the chain.

An agent that passes over an unknown one marks the packet as one that is not settled, so that it is dropped at the end and its repeat goes on once the owner's record is there or the balancer's chain no longer names it.

Seen failing first, a chain that names an unknown agent:

ASSERT FAILED: Counter({'reset': 1})

After: dropped as `no owner yet`. The price: packets of a flow without an owner stall for the 60 s in which chains name the removed agent.

--- a/chicorycart/agent/search.py
+++ b/chicorycart/agent/search.py
@@ -181,8 +181,9 @@
     def find_next(self, forward: Forward) -> int:
         """Return the next position of an agent that is known.
 
-        Others are passed over: a chain that names them was forged, or is
-        newer than what this agent knows.
+        Others are passed over: a chain that names them was forged, is newer
+        than what this agent knows, or names a removed agent that may still
+        own the flow.
         """
         for position in range(forward.position + 1, len(forward.chain)):
             agent = forward.chain[position]
@@ -190,5 +191,6 @@
                 continue
             if self.service_agents.is_known(agent):
                 return position
+            forward.unsettled = True
             self.output.count("unknown agent")
         return len(forward.chain)
--- a/tests/agent/search.feature
+++ b/tests/agent/search.feature
@@ -40,3 +40,11 @@
     When 600 s pass
     And a caller sends a packet of an unknown flow 1 times
     Then the flow was reset at last
+
+  # An agent that started after a removal did not know the owner, passed it
+  # over and reset its flows.
+  Scenario: No flow is reset after an unknown agent of its chain was passed over
+    Given an agent of a service of 8 targets
+    When a caller sends a packet whose chain names an agent that is not known
+    Then the flow was dropped 1 times for "no owner yet"
+    And the unknown agent got nothing
--- a/tests/agent/search_steps.py
+++ b/tests/agent/search_steps.py
@@ -45,6 +45,7 @@
 ENTRY = Address("203.0.113.1", 80)
 SERVICE = "dispatch"
 ALL_BUCKETS = frozenset(range(BUCKETS_PER_SERVICE))
+UNKNOWN_AGENT = pack_address(Address("192.0.2.200", 7001))
 
 
 class ManualClock:
@@ -70,6 +71,7 @@
     def __init__(self):
         self.sent = Counter()
         self.outcomes = Counter()
+        self.counts = Counter()
         self.is_over = False
 
     def send_to(self, forward, packet, agent, reason):
@@ -85,7 +87,7 @@
         self.is_over = True
 
     def count(self, outcome):
-        self.outcomes[outcome] += 1
+        self.counts[outcome] += 1
 
 
 def pack_agent(number):
@@ -223,7 +225,12 @@
         search(context)
 
 
-def search(context):
+@when("a caller sends a packet whose chain names an agent that is not known")
+def send_to_unknown(context):
+    search(context, UNKNOWN_AGENT)
+
+
+def search(context, *others):
     """Pass on a packet until its search ends.
 
     No other agent owns the flow, and all know the same as this one.
@@ -233,7 +240,7 @@
     forward = Forward(
         context.store.current.version,
         context.service,
-        [context.service_agents.own],
+        [context.service_agents.own, *others],
         b"",
         hops=1,
     )
@@ -256,6 +263,12 @@
     assert context.output.outcomes == {"reset": 1}, context.output.outcomes
 
 
+@then("the unknown agent got nothing")
+def check_unknown(context):
+    assert context.output.counts["unknown agent"]
+    assert not context.output.sent[UNKNOWN_AGENT]
+
+
 @then("each of the {owners:d} owners and {others:d} candidates got the packet")
 def check_asked(context, owners, others):
     agents = {*context.owners, *context.candidates[1:]}
