--- a/chicorycart/agent/search.py
+++ b/chicorycart/agent/search.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from chicorycart.agent.output import PacketOutput
+from chicorycart.agent.recovery import FlowRecovery
 from chicorycart.defaults import MAX_SEARCH_LENGTH
 from chicorycart.flows.openings import OpeningMemory
 from chicorycart.flows.records import OwnerRecords
@@ -36,6 +37,8 @@
         Where packets of open flows were sent before.
     settling : Settling
         Tells how to end a search that found nobody.
+    recovery : FlowRecovery
+        Tells whether the own flows of before a start are known.
     random : Random
         Shuffles the recorded owners, so that a dead one among them does
         not stop every resend of a packet.
@@ -48,6 +51,7 @@
         "memory",
         "hints",
         "settling",
+        "recovery",
         "random",
     )
 
@@ -59,6 +63,7 @@
         memory: OpeningMemory,
         hints: OpeningMemory,
         settling: Settling,
+        recovery: FlowRecovery,
         random: Random,
     ):
         self.output = output
@@ -67,6 +72,7 @@
         self.memory = memory
         self.hints = hints
         self.settling = settling
+        self.recovery = recovery
         self.random = random
 
     def forward_to_next(self, forward: Forward, packet: Packet) -> None:
@@ -76,7 +82,7 @@
             self.output.send_to(forward, packet, agent, "placed there")
             return
         bucket = bucket_of(hash_flow(packet.flow))
-        self.extend(forward, self.list_recorded(bucket))
+        self.extend(forward, self.list_recorded(forward, bucket))
         if not self.has_next(forward):
             self.extend(forward, self.service_agents.chain(bucket))
         if not self.is_settled(forward):
@@ -111,10 +117,13 @@
 
         While versions and records may still be on their way to an agent
         that had the packet, it is dropped: its repeat may find the owner.
-        So it is while any agent of the service is suspected: it may own the
+        So it is if there was no room for all agents that may own the flow,
+        and while any agent of the service is suspected: it may own the
         flow on the other side of a partition, where balancers reach it.
         """
-        if forward.unsettled:
+        if forward.unsettled and len(forward.chain) >= MAX_SEARCH_LENGTH:
+            self.output.drop(forward, packet, "search cut")
+        elif forward.unsettled:
             self.output.drop(forward, packet, "no owner yet")
         elif self.service_agents.has_suspected_agents():
             self.output.drop(forward, packet, "owner may be cut off")
@@ -125,21 +134,35 @@
         """Tell whether this agent would know the owner if there were one."""
         if forward.version > self.service_agents.version:
             return False
+        if not (self.recovery.is_done and self.records.is_complete()):
+            return False
         return self.settling.is_settled()
 
-    def list_recorded(self, bucket: int) -> list[int]:
-        """Return the recorded owners of the bucket in random order."""
+    def list_recorded(self, forward: Forward, bucket: int) -> list[int]:
+        """Return the recorded owners of the bucket in random order.
+
+        If they leave no room for the candidates, these are mixed in, so
+        that repeats of the packet reach all of them.
+        """
         owners = self.records.owners_of(bucket)
+        if len(forward.chain) + len(owners) >= MAX_SEARCH_LENGTH:
+            owners += self.service_agents.chain(bucket)
         self.random.shuffle(owners)
         return owners
 
     def extend(self, forward: Forward, agents: Iterable[int]) -> None:
-        """Add agents to the chain, each once and not this one."""
+        """Add agents to the chain, each once and not this one.
+
+        If there is no room for all, the search cannot tell that the flow
+        has no owner.
+        """
         for agent in agents:
+            if agent == self.service_agents.own or agent in forward.chain:
+                continue
             if len(forward.chain) >= MAX_SEARCH_LENGTH:
+                forward.unsettled = True
                 return
-            if agent != self.service_agents.own and agent not in forward.chain:
-                forward.chain.append(agent)
+            forward.chain.append(agent)
 
     def put_suspected_last(self, forward: Forward) -> None:
         """Offer the packet to suspected agents after all others.
@@ -158,8 +181,9 @@
     def find_next(self, forward: Forward) -> int:
         """Return the next position of an agent that is known.
 
-        Others are passed over: a chain that names them was forged, or is
-        newer than what this agent knows.
+        Others are passed over: a chain that names them was forged, is newer
+        than what this agent knows, or names a removed agent that may still
+        own the flow.
         """
         for position in range(forward.position + 1, len(forward.chain)):
             agent = forward.chain[position]
@@ -167,5 +191,6 @@
                 continue
             if self.service_agents.is_known(agent):
                 return position
+            forward.unsettled = True
             self.output.count("unknown agent")
         return len(forward.chain)
