Let the soak change the entry at the last revision that a restore took away

Everything was written again after a restore, so the store passed the former revision before any change came.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -143,9 +143,13 @@
 async def check_changes(testbed):
     """Let callers check that changes still come into force in time.
 
-    Each state of the entry that moves is published once, among them none.
+    Each state of the entry that moves is published once, among them none. The
+    first one gets the last revision that a restore took away, if the store has
+    not passed it.
     """
     await sleep(STABLE_SECONDS + LAPSE_SECONDS)
+    testbed.write_until(testbed.lost_revision - 1)
+    await sleep(1.0)
     for _ in range(3):
         testbed.configure()
         await sleep(APPLY_SECONDS + 1.0)
--- a/tests/soak/testbed.py
+++ b/tests/soak/testbed.py
@@ -84,6 +84,7 @@
         self.births = 1_000
         self.next_port = FIRST_PORT
         self.copies = deque(maxlen=COPIES)
+        self.lost_revision = 0
         self.tasks = []
 
     async def start(self):
@@ -152,7 +153,7 @@
         self.hosts[place] = host
         self.list_host(host)
 
-    def list_host(self, host, state="ready"):
+    def list_host(self, host, state="ready", put=None):
         """Write the entry of a host."""
         door = self.fleet.part.place(DOORS, host.place + 1, HOST_PORT)
         entry = make_entry(
@@ -163,7 +164,8 @@
             born=host.born,
         )
         self.listed.add(host.name)
-        self.kv.put(f"servers/{host.name}", encode(entry))
+        put = put or self.kv.put
+        put(f"servers/{host.name}", encode(entry))
 
     def unlist_host(self, host):
         """Remove the entry of a host."""
@@ -176,7 +178,7 @@
         self.version += 1
         self.promises.configure(self.publish())
 
-    def publish(self):
+    def publish(self, put=None):
         """Write the newest version; return where each entry leads."""
         moving = (*SERVICES, None)[self.version % 3]
         routes = dict(zip(ENTRIES, (*SERVICES, moving), strict=True))
@@ -192,7 +194,8 @@
             for entry, service in routes.items()
             if service is not None
         ]
-        self.kv.put("op/config", encode(config))
+        put = put or self.kv.put
+        put("op/config", encode(config))
         return routes
 
     async def follow(self, daemon):
@@ -393,9 +396,10 @@
     async def restore_store(self, step):
         """Let the store be away and come back from a copy.
 
-        The operator and the hosts write again what they wrote last, and the
+        The operator and the hosts write again what the copy lacks, and the
         entries of hosts that had left expire.
         """
+        self.lost_revision = max(self.lost_revision, self.kv.revision)
         for stream in self.streams:
             stream.is_refusing = True
             stream.reset()
@@ -404,7 +408,7 @@
         former = {
             key for key in self.kv.items if key.startswith("servers/")
         } - {f"servers/{host.name}" for host in self.hosts.values()}
-        self.publish()
+        self.publish(self.kv.put_changed)
         for stream in self.streams:
             stream.is_refusing = False
         hosts = list(self.hosts.values())
@@ -412,12 +416,18 @@
             await sleep(HEARTBEAT_SECONDS / len(hosts))
             if self.hosts.get(host.place) is host:
                 is_draining = host.name in self.promises.draining
-                self.list_host(host, "draining" if is_draining else "ready")
+                state = "draining" if is_draining else "ready"
+                self.list_host(host, state, self.kv.put_changed)
         await sleep(LAPSE_SECONDS - HEARTBEAT_SECONDS)
         for key in former & set(self.kv.items):
             if not self.kv.items[key].get("tombstone"):
                 self.kv.remove(key)
 
+    def write_until(self, revision):
+        """Write the newest version again until the store has a revision."""
+        while self.kv.revision < revision:
+            self.publish()
+
     async def silence_store(self, step):
         """Hold everything between a balancer and the store."""
         stream = self.pick(step, self.streams)
--- a/tests/standins/kv.py
+++ b/tests/standins/kv.py
@@ -88,6 +88,12 @@
         }
         self.changed.set()
 
+    def put_changed(self, key, value):
+        """Write an item unless it has the value."""
+        item = self.items.get(key, {"tombstone": True})
+        if item.get("tombstone") or item["value"] != value:
+            self.put(key, value)
+
     def remove(self, key):
         """Remove an item, and let watches see that it is gone."""
         self.put(key, "")
