--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -10,6 +10,10 @@
       | 0     | 1      |
       | 2     | 5      |
 
+  Scenario: Two restores of the store break no promise
+    When seed 161 of the soak is played
+    Then no promise was broken
+
   Scenario Outline: Seed <seed> failed once: <cause>
     When seed <seed> of the soak is played
     Then no promise was broken
