Test: Flows of a leaving host that was out of reach are kept

Callers of a leaving host that a balancer could not reach for 1.5 or 2 s were reset when they asked again, although the host lived and held their flows: the verdict by its agent's silence was for good.

--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -76,6 +76,21 @@
     And the other half is reset within 0.3 s of its next request
     And every flow of the other hosts gets an answer and none is reset
 
+  # The silence of a leaving host's agent ended the host for good.
+  Scenario Outline: Flows of a leaving host that was out of reach are kept: <dark> s, asked <later> s later
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And these hosts are out of reach for <dark> s from 1 s later on
+    And the callers do nothing for <later> s
+    Then every open flow gets an answer from its host
+    And no caller was reset
+
+    Examples: Time out of reach, and until the next request
+      | dark | later |
+      | 2    | 5     |
+      | 1.5  | 3     |
+
   # Draining targets were asked after all others.
   Scenario: The flow of a draining host is found by asking a part of the targets
     Given a fleet of 48 hosts and 1 balancers
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -155,6 +155,21 @@
     context.run(end())
 
 
+@when(
+    "these hosts are out of reach for {seconds:g} s from {later:g} s later on"
+)
+def cut_off(context, seconds, later):
+    async def cut():
+        dark = context.fleet.network.dark
+        hosts = [context.fleet.hosts[n].address.host for n in context.drained]
+        await sleep(later)
+        dark.update(hosts)
+        await sleep(seconds)
+        dark.difference_update(hosts)
+
+    context.run(cut())
+
+
 @when("these hosts end at once, but not their agents")
 def end_hosts_only(context):
     for name in context.drained:
