Test: A restored store's earlier start of a drained host gets no new flow

A copy listed an earlier start of a host that had started again, drained and left. The balancer had no member of that name to compare it with, and the memory of drains compared equal starts alone, so that the host got new flows.

--- a/tests/steering/targets.feature
+++ b/tests/steering/targets.feature
@@ -159,3 +159,10 @@
     When the address of "h1" goes to a younger host that ends, and the store is restored from a copy made before
     And 20 callers ask one after the other
     Then host "h1" was given no new flow
+
+  # An entry of an earlier start than the one that drained was not outdated.
+  Scenario: A host that started again, drained and left gets no new flow when a restored store lists its earlier start
+    Given a fleet of 3 hosts and 1 balancers
+    When host "h1" starts again, drains, leaves and the store is restored from a copy of its earlier start
+    And 20 callers ask one after the other
+    Then host "h1" was given no new flow
--- a/tests/steering/targets_steps.py
+++ b/tests/steering/targets_steps.py
@@ -358,6 +358,24 @@
     wait(context, 1.0)
 
 
+@when(
+    'host "{name}" starts again, drains, leaves and the store is restored from'
+    " a copy of its earlier start"
+)
+def restore_earlier_start(context, name):
+    def start_and_leave():
+        fleet = context.fleet
+        fleet.list_host(name, born=2)
+        wait(context, 1.0)
+        context.opened = len(fleet.hosts[name].opened)
+        fleet.list_host(name, state=ListedState.DRAINING, born=2)
+        wait(context, 1.0)
+        fleet.store.remove(name)
+
+    restore(context, start_and_leave)
+    wait(context, 1.0)
+
+
 @when(
     'host "{name}" starts again at another address and the store is restored'
     " from a copy made before"
