Test: A new balancer finds a leaving host's flow although a listed host is dead

Callers of a leaving host got no answer from a balancer that had just started while one listed host was dead: the store's history, which alone names the owner, was read only once every listed host had returned the packet.

--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -91,6 +91,22 @@
       | 2    | 5     |
       | 1.5  | 3     |
 
+  # The history was not read while a listed host left packets unanswered.
+  Scenario Outline: A new balancer finds the flow of a leaving host although a listed host is dead: <case>
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    And 1 hosts that joined later
+    When 1 hosts with flows drain and their entries are removed after 1 s
+    And the host that joined last ends and balancer "b1" is replaced
+    And its entry <expires>
+    Then every open flow gets an answer from its host within 2 s
+    And no caller was reset
+
+    Examples: What becomes of the entry of the dead host
+      | case    | expires                |
+      | listed  | is kept                |
+      | expires | is removed 0.3 s later |
+
   # Draining targets were asked after all others.
   Scenario: The flow of a draining host is found by asking a part of the targets
     Given a fleet of 48 hosts and 1 balancers
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -170,6 +170,31 @@
     context.run(cut())
 
 
+@when('the host that joined last ends and balancer "{name}" is replaced')
+def end_last(context, name):
+    async def replace():
+        fleet = context.fleet
+        await sleep(0.3)
+        context.last = list(fleet.hosts)[-1]
+        fleet.network.dark.add(fleet.hosts[context.last].address.host)
+        fleet.kill_balancer(name)
+        fleet.add_balancer(name)
+        await sleep(0.3)
+
+    context.run(replace())
+
+
+@when("its entry is kept")
+def keep_entry(context):
+    assert context.last in context.fleet.store.entries
+
+
+@when("its entry is removed {seconds:g} s later")
+def remove_last(context, seconds):
+    context.removed = [context.last]
+    remove_later(context, seconds)
+
+
 @when("these hosts end at once, but not their agents")
 def end_hosts_only(context):
     for name in context.drained:
