Test: A flow that its caller closed is not reset when its drained host ends

A balancer kept the last packet of each flow of a leaving host, the closing one too, and answered it with a reset when the host ended. A caller that had used the five-tuple for another flow meanwhile lost that one.

--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -107,6 +107,29 @@
       | listed  | is kept                |
       | expires | is removed 0.3 s later |
 
+  # The last packet of a flow that its caller had closed was kept.
+  Scenario: A flow that its caller closed is not reset when its drained host ends
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And the callers of these hosts ask once more and close their flows
+    And these hosts end 0.3 s later
+    And the callers do nothing for 4 s
+    Then no caller was reset
+
+  # The last packet of the former flow was kept.
+  Scenario: A five-tuple that was closed and is in use again is not reset when its former host ends
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And the callers of these hosts ask once more and close their flows
+    And these hosts end 0.3 s later
+    And balancer "b2" takes the place of "b1" in rotation
+    And these callers open their flows again
+    And the callers do nothing for 4 s
+    Then no caller was reset
+    And every open flow gets an answer from its host
+
   # Draining targets were asked after all others.
   Scenario: The flow of a draining host is found by asking a part of the targets
     Given a fleet of 48 hosts and 1 balancers
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -195,6 +195,50 @@
     remove_later(context, seconds)
 
 
+@when("the callers of these hosts ask once more and close their flows")
+def close_flows(context):
+    callers = list_flows_of_drained(context)
+
+    async def close():
+        await sleep(0.6)
+        results = await upload_all(callers, 1)
+        assert all(results), results
+        for caller in callers:
+            await caller.close()
+
+    context.run(close())
+
+
+@when('balancer "{new}" takes the place of "{old}" in rotation')
+def take_place(context, new, old):
+    async def take():
+        context.fleet.add_balancer(new)
+        context.fleet.in_rotation.remove(old)
+        await context.fleet.settle()
+
+    context.run(take())
+
+
+@when("these callers open their flows again")
+def open_again(context):
+    callers = list_flows_of_drained(context)
+
+    async def open_flow(caller):
+        caller.host_sequence = None
+        caller.sequence += 5_000
+        assert await caller.open()
+        answer = await caller.ask(b"anew-%d" % caller.address.port)
+        return caller, answer.decode().partition(":")[0]
+
+    async def open_all():
+        return await gather(*map(open_flow, callers))
+
+    others = [flow for flow in context.flows if flow[0] not in callers]
+    context.flows = others + context.run(open_all())
+    names = [name for _, name in context.flows]
+    assert not set(names) & set(context.drained), names
+
+
 @when("these hosts end at once, but not their agents")
 def end_hosts_only(context):
     for name in context.drained:
