Test: A five-tuple used again is not reset for its former, ended host

A balancer that knew a flow for a host that had ended reset the next packet of its five-tuple without a search, also if the caller had opened another flow through another balancer since.

--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -130,6 +130,19 @@
     Then no caller was reset
     And every open flow gets an answer from its host
 
+  # A known flow was reset without a search when its host had ended.
+  Scenario: A five-tuple used again is not reset by a balancer that knew it for an ended host
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And these hosts end 0.5 s later
+    And the callers do nothing for 3 s
+    And balancer "b2" takes the place of "b1" in rotation
+    And these callers open their flows again
+    And only balancer "b1" is in rotation
+    Then every open flow gets an answer from its host
+    And no caller was reset
+
   # Draining targets were asked after all others.
   Scenario: The flow of a draining host is found by asking a part of the targets
     Given a fleet of 48 hosts and 1 balancers
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -239,6 +239,11 @@
     assert not set(names) & set(context.drained), names
 
 
+@when('only balancer "{name}" is in rotation')
+def rotate_only(context, name):
+    context.fleet.in_rotation[:] = [name]
+
+
 @when("these hosts end at once, but not their agents")
 def end_hosts_only(context):
     for name in context.drained:
