Test: A leaving host known from the history gets no new flow after a restore

A balancer that had just started learned from the store's history that a host had drained and left, but did not remember the drain as one that it had seen. A copy that listed the host as ready gave it new flows.

--- a/tests/steering/targets.feature
+++ b/tests/steering/targets.feature
@@ -166,3 +166,12 @@
     When host "h1" starts again, drains, leaves and the store is restored from a copy of its earlier start
     And 20 callers ask one after the other
     Then host "h1" was given no new flow
+
+  # A drain that only the store's history told was not remembered.
+  Scenario: A leaving host that is known from the history only gets no new flow when a restored store lists it as ready
+    Given a fleet of 3 hosts and 1 balancers
+    And 12 open flows
+    When host "h1" drains, leaves, balancer "b1" learns of it from the history and the store is restored from a copy made before
+    And 20 callers ask one after the other
+    Then host "h1" was given no new flow
+    And every open flow gets an answer from its host
--- a/tests/steering/targets_steps.py
+++ b/tests/steering/targets_steps.py
@@ -17,6 +17,7 @@
 from tests.standins.steered import SERVICE
 from tests.standins.steered import SteeredFleet
 from tests.steering.flows_steps import ask_in_turn
+from tests.steering.flows_steps import ask_open_flows
 
 BALANCER = "b1"
 
@@ -376,6 +377,35 @@
     wait(context, 1.0)
 
 
+@when(
+    'host "{name}" drains, leaves, balancer "{balancer}" learns of it from the'
+    " history and the store is restored from a copy made before"
+)
+def restore_known_from_history(context, name, balancer):
+    fleet = context.fleet
+
+    def leave():
+        drain_host(context, name)
+        wait(context, 1.0)
+        fleet.store.remove(name)
+        wait(context, 0.5)
+        fleet.kill_balancer(balancer)
+        context.run(start_balancer(fleet, balancer))
+        # The history is read for flows that no listed host holds.
+        assert all(context.run(ask_open_flows(context)))
+        agent = fleet.agents[name].settings.link
+        assert fleet.balancers[balancer].directory.is_leaving(agent)
+
+    restore(context, leave)
+    wait(context, 1.0)
+
+
+async def start_balancer(fleet, name):
+    """Start a balancer and let it read what is published."""
+    fleet.add_balancer(name)
+    await fleet.settle(0.3)
+
+
 @when(
     'host "{name}" starts again at another address and the store is restored'
     " from a copy made before"
