Test: The history of a restored store does not revive an ended host

After a restore the history lists a host that had drained and ended as ready and then removed, hence as one that may be alive. Callers whose flows another host lost were then left without a reset, since the ended host could hold them.

--- a/tests/steering/history.feature
+++ b/tests/steering/history.feature
@@ -126,6 +126,16 @@
     When host "h60" joins and 12 flows open, and the store is restored from a copy made before
     Then the list counts as complete only after 2.5 s, though the history was read
 
+  # An ended host counted as one that may be alive and unlisted.
+  Scenario: The history of a restored store does not revive an ended host: flows that another host loses are reset at once
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When host "h1" drains and ends, and the store is restored from a copy made before
+    And its entry in the copy is removed after 3 s
+    And host "h2" has restarted 4 s later
+    And balancer "b1" forgets its flows
+    Then every open flow of "h2" is reset within 0.3 s of its next request
+
   # An answer of the restored store came before the balancer knew of it.
   Scenario: A history of another era than the one followed is not used
     Given a fleet of 3 hosts and 1 balancers
--- a/tests/steering/history_steps.py
+++ b/tests/steering/history_steps.py
@@ -321,6 +321,51 @@
     context.run(check())
 
 
+@when(
+    'host "{name}" drains and ends, and the store is restored from a copy made'
+    " before"
+)
+def restore_ended(context, name):
+    async def restore():
+        fleet = context.fleet
+        copy = fleet.store.copy_state()
+        fleet.list_host(name, state=ListedState.DRAINING)
+        await fleet.settle()
+        fleet.network.dark.add(fleet.hosts[name].address.host)
+        fleet.store.restore(copy, keeps_history=True)
+
+    context.run(restore())
+    context.name = name
+
+
+@when("its entry in the copy is removed after {seconds:g} s")
+def remove_copied(context, seconds):
+    context.run(sleep(seconds))
+    context.fleet.store.remove(context.name)
+
+
+@when('host "{name}" has restarted {seconds:g} s later')
+def restart_host(context, name, seconds):
+    context.run(sleep(seconds))
+    context.fleet.hosts[name].restart()
+    context.fleet.list_host(name, born=9)
+
+
+@then(
+    'every open flow of "{name}" is reset within {seconds:g} s of its next'
+    " request"
+)
+def check_reset_of(context, name, seconds):
+    async def ask():
+        callers = [c for c, host in context.flows if host == name]
+        await gather(*(caller.ask(b"late", seconds) for caller in callers))
+        return [caller.resets for caller in callers]
+
+    resets = context.run(ask())
+    assert resets
+    assert all(resets), resets
+
+
 @when("the store is restored while the balancer waits for changes")
 def restore_unnoticed(context):
     async def restore():
