Test: A 410 to a whole read is an error of the store

Any 410 was reported as a lost history, after which everything is read at once; a store that answered whole reads with 410 was called without a pause.

--- a/tests/platform_adapter/store.feature
+++ b/tests/platform_adapter/store.feature
@@ -30,6 +30,11 @@
       | 500    |
       | 404    |
 
+  # A lost history has everything read at once, so that it was read in a loop.
+  Scenario: A 410 to a whole read is an error of the store, not a lost history
+    When the store answers every call with 410
+    Then the client reports that the store failed
+
   Scenario: A call on a silent connection fails in time
     When the store does not answer at all
     Then the client reports that the store failed
