Test: A store that answers whole reads with 410 is called after a pause

The scenario before shows which error the adapter raises; this one, what follows: a balancer that follows a store which answers all calls with 410 calls it about as often in 1 s as one that answers 503, the pauses being drawn from the same seed.

--- a/tests/platform_adapter/store.feature
+++ b/tests/platform_adapter/store.feature
@@ -35,6 +35,11 @@
     When the store answers every call with 410
     Then the client reports that the store failed
 
+  # It was read again without a pause.
+  Scenario: A store that answers whole reads with 410 is called as rarely as one that answers 503
+    When the store answers every call with 410
+    Then a balancer calls it about as often in 1 s as if it answered 503
+
   Scenario: A call on a silent connection fails in time
     When the store does not answer at all
     Then the client reports that the store failed
--- a/tests/platform_adapter/store_steps.py
+++ b/tests/platform_adapter/store_steps.py
@@ -3,7 +3,10 @@
 from asyncio import create_task
 from asyncio import get_running_loop
 from asyncio import sleep
+from asyncio import timeout
 from base64 import b64encode
+from contextlib import suppress
+from random import Random
 
 from behave import given
 from behave import then
@@ -11,12 +14,19 @@
 from hypothesis import given as for_all
 from hypothesis import strategies
 
+from chicorycart.clock import LoopClock
+from chicorycart.configuration.backoff import Backoff
 from chicorycart.links.http import HttpClient
 from chicorycart.platform.items import decode_config
 from chicorycart.platform.items import decode_server
 from chicorycart.platform.store import MetadataStore
+from chicorycart.steering.directory import Directory
 from chicorycart.steering.errors import HistoryLostError
 from chicorycart.steering.errors import StoreError
+from chicorycart.steering.follow import RoutesInForce
+from chicorycart.steering.follow import StoreFollower
+from chicorycart.steering.limits import RETRY_INITIAL_SECONDS
+from chicorycart.steering.limits import RETRY_MAX_SECONDS
 from chicorycart.steering.published import ENTRY_REMOVED
 from chicorycart.steering.published import ListedState
 from tests.standins.kv import encode
@@ -26,6 +36,8 @@
 from tests.standins.kv import StandInStore
 
 GONE = 410
+LINK_PORT = 7720
+FLOW_TTL_SECONDS = 60.0
 
 
 @given("a stand-in of the store with 3 hosts and a configuration")
@@ -108,6 +120,34 @@
     run_call(context, lambda: context.client.read_all(0.5))
 
 
+async def count_calls(client, seconds):
+    """Follow a store for some time; return the number of calls."""
+    clock = LoopClock()
+    follower = StoreFollower(
+        client,
+        Directory(clock, LINK_PORT, FLOW_TTL_SECONDS),
+        RoutesInForce(),
+        Backoff(Random(1), RETRY_INITIAL_SECONDS, RETRY_MAX_SECONDS),
+        clock,
+    )
+    with suppress(TimeoutError):
+        async with timeout(seconds):
+            await follower.run()
+    return follower.calls
+
+
+@then(
+    "a balancer calls it about as often in {seconds:d} s as if it answered"
+    " {status:d}"
+)
+def check_calls(context, seconds, status):
+    calls = context.run(count_calls(context.client, seconds))
+    context.store.status = status
+    usual = context.run(count_calls(context.client, seconds))
+    assert usual > 0
+    assert calls <= usual + 2, (calls, usual)
+
+
 @when("the store does not answer at all")
 def stay_silent(context):
     context.store.answering.clear()
