Test: A restart of a leaving host's agent costs none of its flows

A guard, not a fault that was seen: a leaving host whose agent is down for 0.7 s while its callers ask keeps its flows, since six probes 0.15 s apart are longer than that.

--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -91,6 +91,15 @@
       | 2    | 5     |
       | 1.5  | 3     |
 
+  # Silence that is shorter than a restart of the agent proves no end.
+  Scenario: Flows of a leaving host are not reset while its agent restarts within 0.7 s
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And the agents of these hosts are down for 0.7 s while their callers ask
+    Then no caller was reset
+    And every open flow gets an answer from its host
+
   # The history was not read while a listed host left packets unanswered.
   Scenario Outline: A new balancer finds the flow of a leaving host although a listed host is dead: <case>
     Given a fleet of 7 hosts and 1 balancers
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -170,6 +170,29 @@
     context.run(cut())
 
 
+@when(
+    "the agents of these hosts are down for {seconds:g} s while their callers"
+    " ask"
+)
+def restart_agents(context, seconds):
+    callers = list_flows_of_drained(context)
+
+    async def restart():
+        fleet = context.fleet
+        await fleet.settle()
+        for name in context.drained:
+            fleet.kill_agent(name)
+        asking = create_task(upload_all(callers, 1))
+        await sleep(seconds)
+        for name in context.drained:
+            host = fleet.hosts[name].address.host
+            fleet.start_agent(name, host, SERVICE)
+        return await asking
+
+    results = context.run(restart())
+    assert all(results), results
+
+
 @when('the host that joined last ends and balancer "{name}" is replaced')
 def end_last(context, name):
     async def replace():
