--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -76,6 +76,82 @@
     And the other half is reset within 0.3 s of its next request
     And every flow of the other hosts gets an answer and none is reset
 
+  # The silence of a leaving host's agent ended the host for good.
+  Scenario Outline: Flows of a leaving host that was out of reach are kept: <dark> s, asked <later> s later
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And these hosts are out of reach for <dark> s from 1 s later on
+    And the callers do nothing for <later> s
+    Then every open flow gets an answer from its host
+    And no caller was reset
+
+    Examples: Time out of reach, and until the next request
+      | dark | later |
+      | 2    | 5     |
+      | 1.5  | 3     |
+
+  # Silence that is shorter than a restart of the agent proves no end.
+  Scenario: Flows of a leaving host are not reset while its agent restarts within 0.7 s
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And the agents of these hosts are down for 0.7 s while their callers ask
+    Then no caller was reset
+    And every open flow gets an answer from its host
+
+  # The history was not read while a listed host left packets unanswered.
+  Scenario Outline: A new balancer finds the flow of a leaving host although a listed host is dead: <case>
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    And 1 hosts that joined later
+    When 1 hosts with flows drain and their entries are removed after 1 s
+    And the host that joined last ends and balancer "b1" is replaced
+    And its entry <expires>
+    Then every open flow gets an answer from its host within 2 s
+    And no caller was reset
+
+    Examples: What becomes of the entry of the dead host
+      | case    | expires                |
+      | listed  | is kept                |
+      | expires | is removed 0.3 s later |
+
+  # The last packet of a flow that its caller had closed was kept.
+  Scenario: A flow that its caller closed is not reset when its drained host ends
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And the callers of these hosts ask once more and close their flows
+    And these hosts end 0.3 s later
+    And the callers do nothing for 4 s
+    Then no caller was reset
+
+  # The last packet of the former flow was kept.
+  Scenario: A five-tuple that was closed and is in use again is not reset when its former host ends
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And the callers of these hosts ask once more and close their flows
+    And these hosts end 0.3 s later
+    And balancer "b2" takes the place of "b1" in rotation
+    And these callers open their flows again
+    And the callers do nothing for 4 s
+    Then no caller was reset
+    And every open flow gets an answer from its host
+
+  # A known flow was reset without a search when its host had ended.
+  Scenario: A five-tuple used again is not reset by a balancer that knew it for an ended host
+    Given a fleet of 7 hosts and 1 balancers
+    And 24 open flows
+    When 2 hosts with flows drain and their entries are removed after 1 s
+    And these hosts end 0.5 s later
+    And the callers do nothing for 3 s
+    And balancer "b2" takes the place of "b1" in rotation
+    And these callers open their flows again
+    And only balancer "b1" is in rotation
+    Then every open flow gets an answer from its host
+    And no caller was reset
+
   # Draining targets were asked after all others.
   Scenario: The flow of a draining host is found by asking a part of the targets
     Given a fleet of 48 hosts and 1 balancers
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -155,6 +155,118 @@
     context.run(end())
 
 
+@when(
+    "these hosts are out of reach for {seconds:g} s from {later:g} s later on"
+)
+def cut_off(context, seconds, later):
+    async def cut():
+        dark = context.fleet.network.dark
+        hosts = [context.fleet.hosts[n].address.host for n in context.drained]
+        await sleep(later)
+        dark.update(hosts)
+        await sleep(seconds)
+        dark.difference_update(hosts)
+
+    context.run(cut())
+
+
+@when(
+    "the agents of these hosts are down for {seconds:g} s while their callers"
+    " ask"
+)
+def restart_agents(context, seconds):
+    callers = list_flows_of_drained(context)
+
+    async def restart():
+        fleet = context.fleet
+        await fleet.settle()
+        for name in context.drained:
+            fleet.kill_agent(name)
+        asking = create_task(upload_all(callers, 1))
+        await sleep(seconds)
+        for name in context.drained:
+            host = fleet.hosts[name].address.host
+            fleet.start_agent(name, host, SERVICE)
+        return await asking
+
+    results = context.run(restart())
+    assert all(results), results
+
+
+@when('the host that joined last ends and balancer "{name}" is replaced')
+def end_last(context, name):
+    async def replace():
+        fleet = context.fleet
+        await sleep(0.3)
+        context.last = list(fleet.hosts)[-1]
+        fleet.network.dark.add(fleet.hosts[context.last].address.host)
+        fleet.kill_balancer(name)
+        fleet.add_balancer(name)
+        await sleep(0.3)
+
+    context.run(replace())
+
+
+@when("its entry is kept")
+def keep_entry(context):
+    assert context.last in context.fleet.store.entries
+
+
+@when("its entry is removed {seconds:g} s later")
+def remove_last(context, seconds):
+    context.removed = [context.last]
+    remove_later(context, seconds)
+
+
+@when("the callers of these hosts ask once more and close their flows")
+def close_flows(context):
+    callers = list_flows_of_drained(context)
+
+    async def close():
+        await sleep(0.6)
+        results = await upload_all(callers, 1)
+        assert all(results), results
+        for caller in callers:
+            await caller.close()
+
+    context.run(close())
+
+
+@when('balancer "{new}" takes the place of "{old}" in rotation')
+def take_place(context, new, old):
+    async def take():
+        context.fleet.add_balancer(new)
+        context.fleet.in_rotation.remove(old)
+        await context.fleet.settle()
+
+    context.run(take())
+
+
+@when("these callers open their flows again")
+def open_again(context):
+    callers = list_flows_of_drained(context)
+
+    async def open_flow(caller):
+        caller.host_sequence = None
+        caller.sequence += 5_000
+        assert await caller.open()
+        answer = await caller.ask(b"anew-%d" % caller.address.port)
+        return caller, answer.decode().partition(":")[0]
+
+    async def open_all():
+        return await gather(*map(open_flow, callers))
+
+    others = [flow for flow in context.flows if flow[0] not in callers]
+    context.flows = others + context.run(open_all())
+    names = [name for _, name in context.flows]
+    assert not set(names) & set(context.drained), names
+
+
+@when('only balancer "{name}" is in rotation')
+def rotate_only(context, name):
+    context.fleet.in_rotation[:] = [name]
+
+
 @when("these hosts end at once, but not their agents")
 def end_hosts_only(context):
     for name in context.drained:
