--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -85,6 +85,8 @@
         Probes in a row that its agent did not answer.
     probed_at : float
         Time of the last probe, or of the removal before the first one.
+    control : Address or None
+        Agent of a listed target that was probed at the same time.
     questions : int
         Packets of searches that its host did not answer, since it last
         answered one.
@@ -101,6 +103,7 @@
         "was_heard",
         "unanswered_probes",
         "probed_at",
+        "control",
         "questions",
         "asked_at",
     )
@@ -122,6 +125,7 @@
         self.was_heard = was_heard
         self.unanswered_probes = 0
         self.probed_at = probed_at
+        self.control: Address | None = None
         self.questions = 0
         self.asked_at = 0.0
 
--- a/chicorycart/steering/health.py
+++ b/chicorycart/steering/health.py
@@ -46,22 +46,14 @@
         Measures suspensions.
     events : EventLog
         Logs each suspension and its end.
-
-    Attributes
-    ----------
-    targets : dict of Address to TargetHealth
-        Health by agent.
-    last_heard_at : float
-        Time of the last message of any agent.
     """
 
-    __slots__ = ("clock", "events", "targets", "last_heard_at")
+    __slots__ = ("clock", "events", "targets")
 
     def __init__(self, clock: Clock, events: EventLog):
         self.clock = clock
         self.events = events
         self.targets: dict[Address, TargetHealth] = {}
-        self.last_heard_at = float("-inf")
 
     def find(self, agent: Address) -> TargetHealth:
         """Return the health of a target; adds an entry if it has none."""
@@ -78,7 +70,7 @@
         """Record the load that a live target reported; end its suspension."""
         health = self.find(agent)
         health.load = load
-        health.load_at = self.last_heard_at = self.clock.now()
+        health.load_at = self.clock.now()
         health.sent = 0
         if health.failures:
             self.events.record(
--- a/chicorycart/steering/probes.py
+++ b/chicorycart/steering/probes.py
@@ -34,8 +34,8 @@
     """Probes targets that may be alive.
 
     An answer ends the suspension of a suspended target. A leaving target
-    whose agent answers no more has ended, if other agents answer meanwhile; it
-    is probed on, so that a fault of the network does not end it for good.
+    whose agent answers no more has ended, if listed targets answer meanwhile;
+    it is probed on, so that a fault of the network does not end it for good.
 
     Parameters
     ----------
@@ -84,23 +84,27 @@
             for vanished in self.directory.list_drained()
             if now - vanished.probed_at >= find_probe_interval(vanished)
         ]
-        for vanished in due:
-            self.probe_drained(vanished)
         if due:
-            self.probe_control()
+            control = self.probe_control()
+            for vanished in due:
+                self.probe_drained(vanished, control)
 
-    def probe_drained(self, vanished: VanishedTarget) -> None:
+    def probe_drained(
+        self, vanished: VanishedTarget, control: Address | None
+    ) -> None:
         """Probe a target that vanished while draining.
 
-        A probe does not count if no agent at all was heard since: the fault
-        may be here.
+        An unanswered probe counts only if that of the control was answered:
+        otherwise the own link may have lost both.
         """
         agent = vanished.target.agent
         if self.health.was_heard_since(agent, vanished.probed_at):
             if not vanished.questions:
                 self.directory.record_heard(vanished)
             vanished.unanswered_probes = 0
-        elif self.health.last_heard_at >= vanished.probed_at:
+        elif vanished.control is not None and self.health.was_heard_since(
+            vanished.control, vanished.probed_at
+        ):
             vanished.unanswered_probes += 1
         now = self.health.clock.now()
         reason = find_end_reason(vanished, now)
@@ -110,15 +114,18 @@
                 # Its agent's next word shows that the host may live.
                 vanished.questions = 0
         vanished.probed_at = now
+        vanished.control = control
         self.sender.send(MessageKind.PROBE, b"", agent)
 
-    def probe_control(self) -> None:
-        """Probe a listed target, another one each time."""
+    def probe_control(self) -> Address | None:
+        """Probe a listed target, another one each time; return its agent."""
         members = list(self.directory.members.values())
-        if members:
-            agent = members[self.controls % len(members)].target.agent
-            self.controls += 1
-            self.sender.send(MessageKind.PROBE, b"", agent)
+        if not members:
+            return None
+        agent = members[self.controls % len(members)].target.agent
+        self.controls += 1
+        self.sender.send(MessageKind.PROBE, b"", agent)
+        return agent
 
 
 def find_probe_interval(vanished: VanishedTarget) -> float:
