--- a/tests/placement/placement_steps.py
+++ b/tests/placement/placement_steps.py
@@ -14,7 +14,6 @@
 from tests.flows.openings_steps import pass_seconds
 from tests.flows.ownership_steps import in_loop
 from tests.flows.ownership_steps import start_fleet
-from tests.placement.chain_steps import OneSuspect
 from tests.placement.choice_steps import FixedPeerAgentLoads
 from tests.placement.choice_steps import FixedSource
 
@@ -37,6 +36,19 @@
     context.fleet.wire.send = record_and_send
 
 
+class OneLapsed:
+    """Leases of which one agent's has lapsed."""
+
+    def __init__(self, agent):
+        self.agent = agent
+
+    def is_lapsed(self, agent):
+        return agent == self.agent
+
+    def has_lapsed_agents(self):
+        return True
+
+
 @given("5 agents and 2 balancers that know each other's loads")
 def fleet_with_loads(context):
     start_fleet(context, 5, 2)
@@ -151,15 +163,13 @@
 def check_direct(context):
     agent, found = recall(context)
     assert found in [other.own for other in context.fleet.agents.values()]
-    context.remembered = agent.ownership.delivery.service_agents.targets[
-        found
-    ].name
+    context.remembered = found
 
 
 @then("not once it suspects the remembered agent")
 def check_not_suspected(context):
     agent, _ = recall(context)
-    agent.ownership.delivery.service_agents.suspicions = OneSuspect(
+    agent.ownership.delivery.service_agents.leases = OneLapsed(
         context.remembered
     )
     assert recall(context)[1] is None
