--- a/tests/standins/testbed.py
+++ b/tests/standins/testbed.py
@@ -33,6 +33,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 STOP_SECONDS = 20.0
+LOG_TAIL_LINES = 60
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.05
 REQUEST_SECONDS = 30.0
@@ -240,7 +241,16 @@
 
     async def wait_ready(self, name: str) -> None:
         """Wait until a daemon says that it is ready."""
-        await self.wait_until(lambda: self.is_ready(name), READY_SECONDS)
+        try:
+            await self.wait_until(lambda: self.is_ready(name), READY_SECONDS)
+        except TimeoutError as error:
+            message = f"{name}: {error}\n{self.read_log_tail()}"
+            raise TimeoutError(message) from error
+
+    def read_log_tail(self) -> str:
+        """Return the last lines that the daemons logged."""
+        lines = Path(self.log.name).read_text().splitlines()
+        return "\n".join(lines[-LOG_TAIL_LINES:])
 
     async def wait_serving(self, name: str) -> None:
         """Wait until a daemon has a version in force."""
