--- a/tests/standins/memory.py
+++ b/tests/standins/memory.py
@@ -24,6 +24,9 @@
         Share of datagrams that are lost.
     repeats : float
         Share of datagrams that arrive twice.
+    jitters : dict of (Address, Address) to float
+        Longest time in seconds by which datagrams between two sockets are
+        late; they stay in order.
     faults : list of callable
         Each gets source, data and destination of every datagram; it is lost
         if one of them returns True.
@@ -38,6 +41,8 @@
         self.cuts = set()
         self.loss = 0.0
         self.repeats = 0.0
+        self.jitters = {}
+        self.arrivals = {}
         self.faults = []
 
     def open(self, address):
@@ -58,14 +63,24 @@
         copies = 1 + (self.random.random() < self.repeats)
         for copy in range(copies):
             if passes and self.random.random() >= self.loss:
-                get_running_loop().call_later(
-                    delay * (1 + copy),
+                get_running_loop().call_at(
+                    self.find_arrival(source, destination, delay * (1 + copy)),
                     self.arrive,
                     source,
                     data,
                     destination,
                 )
 
+    def find_arrival(self, source, destination, delay):
+        """Return when a datagram that is sent now arrives."""
+        at = get_running_loop().time() + delay
+        pair = (source, destination)
+        if pair in self.jitters:
+            at += self.random.random() * self.jitters[pair]
+            at = max(at, self.arrivals.get(pair, 0.0))
+            self.arrivals[pair] = at
+        return at
+
     def arrive(self, source, data, destination):
         """Hand a datagram to the socket that is there by now."""
         socket = self.sockets.get(destination)
--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -173,6 +173,19 @@
       | 2     |
       | 4     |
 
+  # Each returned copy went to all targets of the search again.
+  Scenario Outline: Packets <gap> ms apart go to each target at most once: <count> packets
+    Given a fleet of 56 hosts and 2 balancers
+    And links of uneven delay between balancers and agents
+    And an open flow whose host drains
+    When its caller sends <count> packets <gap> ms apart through the other balancer
+    Then each target got each packet of it at most once
+
+    Examples: Packets in flight
+      | count | gap |
+      | 2     | 0.6 |
+      | 3     | 0.6 |
+
   # A flow was reset if the host to which its balancer offered it returned it.
   Scenario: No flow is reset whose caller took the acceptance of a host that is not listed yet
     Another balancer, which had read the list of targets before the store went
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -3,6 +3,7 @@
 from asyncio import create_task
 from asyncio import gather
 from asyncio import sleep
+from collections import Counter
 
 from behave import given
 from behave import then
@@ -11,6 +12,7 @@
 from chicorycart.address import Address
 from chicorycart.configuration.model import hash_name
 from chicorycart.links.datagrams import MessageKind
+from chicorycart.platform.segments import ACK
 from chicorycart.platform.segments import SYN
 from chicorycart.steering.messages import encode_delivery_header
 from chicorycart.steering.published import ListedState
@@ -20,6 +22,12 @@
 from tests.standins.steered import SERVICE
 from tests.steering.flows_steps import ask_open_flows
 
+JITTER_SECONDS = 0.001
+LOCAL_SECONDS = 0.0001
+NEAR_SECONDS = 0.0002
+FAR_SECONDS = 0.0009
+SEARCH_SECONDS = 0.5
+
 
 def list_hosts(context, count, with_flows):
     """Return the names of some hosts that have flows, or have none."""
@@ -312,6 +320,62 @@
     assert not any(resets), resets
 
 
+@given("links of uneven delay between balancers and agents")
+def make_uneven_links(context):
+    fleet = context.fleet
+    for number, agent in enumerate(fleet.agents.values()):
+        settings = agent.settings
+        ends = (settings.host, settings.outbound)
+        fleet.network.delays[ends] = LOCAL_SECONDS
+        fleet.network.delays[ends[::-1]] = LOCAL_SECONDS
+        delay = NEAR_SECONDS if number % 3 == 0 else FAR_SECONDS
+        for balancer in fleet.balancers.values():
+            link = balancer.settings.link
+            for pair in ((settings.link, link), (link, settings.link)):
+                fleet.network.delays[pair] = delay
+                fleet.network.jitters[pair] = JITTER_SECONDS
+
+
+@given("an open flow whose host drains")
+def open_draining(context):
+    async def open_one():
+        fleet = context.fleet
+        await fleet.settle()
+        fleet.in_rotation = ["b1"]
+        context.caller, owner = await fleet.open_flow()
+        list_draining(fleet, [owner])
+        await fleet.settle()
+        fleet.in_rotation = ["b2"]
+
+    context.run(open_one())
+
+
+@when(
+    "its caller sends {count:d} packets {gap:g} ms apart through the other"
+    " balancer"
+)
+def send_apart(context, count, gap):
+    async def send():
+        for number in range(count):
+            body = b"part-%d" % number
+            context.caller.sequence += len(body)
+            context.caller.send(ACK, body)
+            await sleep(gap / 1000)
+        await sleep(SEARCH_SECONDS)
+
+    context.count = count
+    context.log = DeliveryLog(context.fleet.network)
+    context.run(send())
+
+
+@then("each target got each packet of it at most once")
+def check_once_each(context):
+    agents = Counter(context.log.agents[context.caller.address])
+    assert agents
+    most = max(agents.values())
+    assert most <= context.count, (most, sum(agents.values()))
+
+
 @when("{count:d} hosts with flows drain")
 def drain_some(context, count):
     context.drained = list_hosts(context, count, with_flows=True)
