Go on asking balancers after a second pause at the start

An agent that was paused while it waited for its balancers' answers never got ready, so that its service had one target less until a restart.

Cause: the end of a pause clears the deadline of that wait, and the check after it compared the time with none; the error ended the task. That three earlier failures of the same step had this cause is suspected; their logs are lost.

The check waits for the next question now. Scenario An agent that is paused while it waits for balancers serves later, before: 0 passed, 1 failed, TypeError: '>=' not supported between instances of 'float' and 'NoneType'; now tests/configuration: 41 passed.

--- a/chicorycart/configuration/service_follower.py
+++ b/chicorycart/configuration/service_follower.py
@@ -167,6 +167,9 @@
 
     def check_started(self) -> None:
         """Serve once enough is known."""
+        if self.deadline is None:
+            # A pause ended while the answers were waited for.
+            return
         is_late = self.clock.now() >= self.deadline
         has_asked = self.waits_for is not None
         if self.version_manager.version and (
--- a/tests/configuration/agents.feature
+++ b/tests/configuration/agents.feature
@@ -37,3 +37,8 @@
   Scenario: A paused agent wakes with an old version
     When an agent is paused while version 2 comes into force
     Then it serves nothing until it has version 2
+
+  # The task that asks the balancers ended with an error.
+  Scenario: An agent that is paused while it waits for balancers serves later
+    When an agent is paused a second time before it serves again
+    Then it serves version 1 within 15 s
--- a/tests/configuration/agents_steps.py
+++ b/tests/configuration/agents_steps.py
@@ -19,6 +19,10 @@
 from tests.configuration.exchange_steps import watch_served
 from tests.standins.platform import encode
 
+SHORT_PAUSE_SECONDS = 2.0
+POLL_SECONDS = 0.001
+POLLS = 10_000
+
 
 @given("{count:d} agents with version 1 in force")
 def start_agents(context, count):
@@ -141,3 +145,30 @@
         return await watch_served(context.agent, IN_FORCE_SECONDS)
 
     assert list(context.run(wake_and_watch())) == [2]
+
+
+@when("an agent is paused a second time before it serves again")
+def pause_twice(context):
+    async def pause():
+        exchange = context.agent.exchange
+        exchange.resume(SHORT_PAUSE_SECONDS)
+        for _ in range(POLLS):
+            if exchange.deadline is not None:
+                break
+            await sleep(POLL_SECONDS)
+        exchange.resume(SHORT_PAUSE_SECONDS)
+
+    context.run(pause())
+
+
+@then("it serves version 1 within 15 s")
+def serves_first(context):
+    async def watch():
+        for _ in range(15):
+            if context.agent.exchange.is_serving:
+                return True
+            await sleep(1.0)
+        return False
+
+    assert context.run(watch())
+    assert context.agent.store.current.version == 1
