Search large services for a flow's host in few turns

Cause: a balancer that knows nothing of a flow asks its possible owners four at a time, so that a flow that none of 109 hosts holds takes 28 turns, each of them held up until the caller's next repetition if one target of it is silent.

Change: each group has eight times as many targets as were asked before (4, 32, 288), within 32 KiB of copies, so that an upload's packets do not fill a thin link. All targets still get one packet each, so the total is as before for flows that no host holds. For a flow whose host is not among the first four, more targets are asked than before.

Tests: tests/steering/large_fleets.feature. Turns for a flow that no host holds on virtual time: 3, 28, 81 at 10, 109 and 324 hosts before, 2, 3, 3 now; each host is asked once. The scenario on uploads passes before and after: it bounds the new groups. tests/steering: 146 passed.

--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -67,9 +67,16 @@
 targets of each takes some 50 us."""
 
 SEARCH_GROUP = CURRENT_CANDIDATES
-"""Targets that are asked at once for the owner of an open flow, and that each
-repetition of its caller adds; the flow was most likely placed on one of the
-first candidates."""
+"""Targets that are asked first for the owner of an open flow; it was most
+likely placed on one of the first candidates."""
+
+SEARCH_GROWTH = 8
+"""Targets in the next group for each one that was asked: 4, 32, 288, so that
+three groups are a service of 324 targets."""
+
+MAX_SEARCH_BYTES = 32_768
+"""Most bytes of one group's copies of a packet: 26 ms of a link of 10 Mbit/s,
+on which other callers' packets wait behind them."""
 
 RETRY_BATCH = 64
 """Undecided flows that are looked at in one turn; ranking the targets of each
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -11,10 +11,12 @@
 from chicorycart.steering.held import HeldPackets
 from chicorycart.steering.history import HistoryCheck
 from chicorycart.steering.limits import MAX_PARKED
+from chicorycart.steering.limits import MAX_SEARCH_BYTES
 from chicorycart.steering.limits import MAX_UNDECIDED_SECONDS
 from chicorycart.steering.limits import MIN_REPETITION_SECONDS
 from chicorycart.steering.limits import RETRY_BATCH
 from chicorycart.steering.limits import SEARCH_GROUP
+from chicorycart.steering.limits import SEARCH_GROWTH
 from chicorycart.steering.output import join_agents
 from chicorycart.steering.output import SteererOutput
 from chicorycart.steering.parked import ParkedPackets
@@ -28,10 +30,11 @@
     Only a return proves that a target is not the owner: until then it stays
     a candidate, which also gets what the caller repeats.
 
-    Targets are asked in groups of SEARCH_GROUP, first those on which the flow
-    was most likely placed. The next group is asked once all of the last one
-    returned the packet, or the caller repeats it. Other packets of the flow
-    wait, so that a search costs one packet for each target.
+    Targets are asked in groups, first the SEARCH_GROUP on which the flow was
+    most likely placed, then SEARCH_GROWTH times as many in each turn. The next
+    group is asked once all of the last one returned the packet, or the caller
+    repeats it. Other packets of the flow wait, so that a search costs one
+    packet for each target.
 
     Parameters
     ----------
@@ -114,7 +117,7 @@
         self.forget(segment.flow)
         state = output.flows.add(segment.flow, route)
         state.is_open = True
-        if not self.add_candidates(state):
+        if not self.add_candidates(state, segment):
             output.flows.drop(segment.flow)
             output.count("no target")
             return None
@@ -132,12 +135,21 @@
         self.held.drop(flow)
         self.undecided.pop(flow, None)
 
-    def add_candidates(self, state: SteeredFlow) -> list[Address]:
+    def add_candidates(
+        self, state: SteeredFlow, segment: Segment
+    ) -> list[Address]:
         """Add the next group of targets to the candidates of a flow.
 
         Suspended and silent targets are added in passing: they may hold the
         flow, but are not expected to answer, so that they delay no others.
 
+        Parameters
+        ----------
+        state : SteeredFlow
+            The flow.
+        segment : Segment
+            Packet that they will be sent.
+
         Returns
         -------
         list of Address
@@ -150,13 +162,14 @@
                 state.service, state.flow
             )
             remaining = self.list_remaining_owners(state)
+        size = find_group_size(state, segment)
         added = []
         awaited = []
-        for agent in remaining[: 2 * SEARCH_GROUP]:
+        for agent in remaining[: 2 * size]:
             added.append(agent)
             if self.is_responsive(agent):
                 awaited.append(agent)
-            if len(awaited) == SEARCH_GROUP:
+            if len(awaited) == size:
                 break
         if added:
             state.awaited = awaited
@@ -194,7 +207,7 @@
             return
         waited = self.health.clock.now() - state.asked_at
         if is_repetition and waited >= MIN_REPETITION_SECONDS:
-            self.widen(state, "the caller repeats its packets")
+            self.widen(state, segment, "the caller repeats its packets")
         elif self.is_asking(state) and waited < MIN_REPETITION_SECONDS:
             self.held.add(segment)
             self.output.count("held")
@@ -254,12 +267,12 @@
         agents = state.candidates or [state.agent]
         return not all(map(self.health.is_suspended, agents))
 
-    def widen(self, state: SteeredFlow, reason: str) -> None:
+    def widen(self, state: SteeredFlow, segment: Segment, reason: str) -> None:
         """Add candidates, since the present ones may not hold a flow."""
         if not state.candidates and state.agent not in state.non_owners:
             state.candidates.append(state.agent)
         unanswered = list(state.candidates)
-        added = self.add_candidates(state)
+        added = self.add_candidates(state, segment)
         if not self.output.follower.is_history_checked:
             # An owner that is not listed may be in the history.
             self.history.request_check()
@@ -329,7 +342,8 @@
         before : Address
             Agent that returned the flow last.
         """
-        added = self.add_candidates(state)
+        probe = self.held.find(state.flow).probe or segment
+        added = self.add_candidates(state, probe)
         if not added:
             return False
         self.output.record(
@@ -340,7 +354,6 @@
             before,
             len(state.non_owners),
         )
-        probe = self.held.find(state.flow).probe or segment
         self.ask(state, probe, added)
         return True
 
@@ -468,3 +481,14 @@
             if not self.directory.is_possible_owner(agent):
                 state.drop_candidate(agent)
                 state.non_owners.append(agent)
+
+
+def find_group_size(state: SteeredFlow, segment: Segment) -> int:
+    """Return how many targets are to be asked next for the owner of a flow.
+
+    The groups grow, so that a flow that no target holds takes few turns in a
+    large service, but the copies of a large packet do not fill a thin link.
+    """
+    asked = len(state.non_owners) + len(state.candidates)
+    copies = MAX_SEARCH_BYTES // len(segment.raw)
+    return max(SEARCH_GROUP, min(SEARCH_GROWTH * asked, copies))
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -77,7 +77,9 @@
         elif not state.is_open:
             self.search.forget(segment.flow)
             if not self.placer.complete_opening(state, segment):
-                self.search.widen(state, "the caller took another host")
+                self.search.widen(
+                    state, segment, "the caller took another host"
+                )
         self.search.forward(state, segment)
 
     def handle_report(self, body: bytes, source: Address) -> None:
--- /dev/null
+++ b/tests/steering/large_fleets.feature
@@ -0,0 +1,27 @@
+@virtual
+Feature: A large fleet serves its callers like a small one
+
+  In a large fleet each balancer knows few of the open flows that come to it
+  after a restart or a rehash, and a loss of power leaves flows that no host
+  holds. Callers wait while their flows' hosts are searched for.
+
+  # Targets were asked four at a time, however many there were.
+  Scenario Outline: A loss of power leaves flows that none of <hosts> hosts holds
+    Given a fleet of <hosts> hosts and 1 balancers
+    And 6 open flows
+    When every host loses what it knows and balancer "b1" is replaced
+    Then a request on each flow reaches every host once in at most <turns> turns
+    And every open flow is reset
+
+    Examples:
+      | hosts | turns |
+      | 10    | 2     |
+      | 109   | 3     |
+      | 324   | 3     |
+
+  # Copies of an upload's packets to all hosts would fill a thin link.
+  Scenario: A search for the host of an upload sends at most 32 KiB at once
+    Given a fleet of 109 hosts and 1 balancers
+    And 6 open flows
+    When every host loses what it knows and balancer "b1" is replaced
+    Then a request of 1100 bytes on each flow is sent in bursts of at most 32768 bytes
--- /dev/null
+++ b/tests/steering/large_fleets_steps.py
@@ -0,0 +1,70 @@
+"""Steps on fleets of a hundred hosts and more."""
+
+from asyncio import sleep
+from collections import Counter
+
+from behave import then
+from behave import when
+
+from tests.standins.deliveries import DeliveryLog
+
+SEARCH_SECONDS = 1.0
+TURN_SECONDS = 0.1
+
+
+@when('every host loses what it knows and balancer "{name}" is replaced')
+def lose_flows(context, name):
+    async def lose():
+        fleet = context.fleet
+        for host in fleet.hosts.values():
+            host.restart()
+        fleet.kill_balancer(name)
+        fleet.add_balancer(name)
+        await fleet.settle()
+
+    context.run(lose())
+
+
+def search_all(context, body):
+    """Send a request on each flow, one after the other; return the log."""
+    log = DeliveryLog(context.fleet.network)
+
+    async def search():
+        for caller, _ in context.flows:
+            await caller.ask(body, TURN_SECONDS)
+        await sleep(SEARCH_SECONDS)
+
+    context.run(search())
+    return log
+
+
+@then(
+    "a request on each flow reaches every host once in at most {count:d} turns"
+)
+def check_turns(context, count):
+    log = search_all(context, b"unheld")
+    for caller, _ in context.flows:
+        asked = Counter(log.agents[caller.address])
+        assert len(asked) == len(context.fleet.hosts), len(asked)
+        assert set(asked.values()) == {1}, asked.most_common(3)
+        turns = len(log.bursts[caller.address])
+        assert turns <= count, turns
+
+
+@then("every open flow is reset")
+def check_all_reset(context):
+    resets = [caller.resets for caller, _ in context.flows]
+    assert all(resets), resets
+
+
+@then(
+    "a request of {size:d} bytes on each flow is sent in bursts of at most"
+    " {limit:d} bytes"
+)
+def check_bursts(context, size, limit):
+    log = search_all(context, b"x" * size)
+    for caller, _ in context.flows:
+        asked = set(log.agents[caller.address])
+        assert len(asked) == len(context.fleet.hosts), len(asked)
+        most = max(log.bursts[caller.address].values())
+        assert most <= limit, most
