Reset no flow before the changes of a pause are known; gather for longer

Cause, found by reading: between two watches a balancer pauses for 0.5 s. A host that was listed in that pause is unknown to it, although another balancer has placed flows there; if the flow comes here then, all known hosts return it, the list counts as complete, and the flow of a live host is reset (rule FLOW). A history that is read at that moment covers it, so it takes a balancer that has read it before.

Change: a flow is reset only if all changes are known up to the time at which its last target was asked. The position is current while a watch waits for longer than 0.1 s, else as of the last answer. A flow that waits for that ends the pause, 0.2 s after the last answer at the earliest.

So longer pauses cost no caller, and the platform is asked for less: changes gather for a fourth of the tightest bound (0.75 s at 3 s, 1.5 s at 6 s, 0.5 s before), but for 0.5 s as before while lapsed entries come back. An answer of 250 changes or more, which may be cut, is followed by the next call at once.

--- a/chicorycart/steering/balancer.py
+++ b/chicorycart/steering/balancer.py
@@ -29,6 +29,8 @@
 from chicorycart.steering.follow import StoreFollower
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.history import HistoryCheck
+from chicorycart.steering.limits import GATHER_BOUND_SHARE
+from chicorycart.steering.limits import GATHER_SECONDS
 from chicorycart.steering.limits import MIN_WATCH_SECONDS
 from chicorycart.steering.limits import PAGES_SECONDS
 from chicorycart.steering.limits import RESUME_SECONDS
@@ -92,6 +94,7 @@
             Backoff(Random(), RETRY_INITIAL_SECONDS, RETRY_MAX_SECONDS),
             clock,
             limit_watch_seconds(settings.bounds),
+            limit_gather_seconds(settings.bounds),
         )
         self.history = HistoryCheck(store, self.directory, self.follower)
         self.link = DatagramLink(
@@ -272,7 +275,17 @@
     It leaves enough of the platform's tightest bound to apply a change, so
     that also a connection that went silent is replaced in time.
     """
-    tightest = min(bounds.apply_seconds, bounds.drain_seconds)
     return max(
-        MIN_WATCH_SECONDS, min(WATCH_SECONDS, WATCH_BOUND_SHARE * tightest)
+        MIN_WATCH_SECONDS,
+        min(WATCH_SECONDS, WATCH_BOUND_SHARE * find_tightest(bounds)),
     )
+
+
+def limit_gather_seconds(bounds: Bounds) -> float:
+    """Return the pause between two calls of the store."""
+    return max(GATHER_SECONDS, GATHER_BOUND_SHARE * find_tightest(bounds))
+
+
+def find_tightest(bounds: Bounds) -> float:
+    """Return the shortest time in which a change must be in force."""
+    return min(bounds.apply_seconds, bounds.drain_seconds)
--- a/chicorycart/steering/follow.py
+++ b/chicorycart/steering/follow.py
@@ -2,6 +2,7 @@
 
 from asyncio import Event
 from asyncio import sleep
+from asyncio import timeout
 
 from logbook import Logger
 
@@ -14,8 +15,11 @@
 from chicorycart.steering.limits import ANSWER_SECONDS
 from chicorycart.steering.limits import GATHER_SECONDS
 from chicorycart.steering.limits import MAX_ANSWER_SECONDS
+from chicorycart.steering.limits import MAX_GATHERED
+from chicorycart.steering.limits import MIN_GATHER_SECONDS
 from chicorycart.steering.limits import RELISTING_SECONDS
 from chicorycart.steering.limits import WATCH_SECONDS
+from chicorycart.steering.limits import WATCH_SETTLE_SECONDS
 from chicorycart.steering.published import Changes
 from chicorycart.steering.published import PublishedStore
 from chicorycart.steering.routes import NO_ROUTES
@@ -75,6 +79,8 @@
         Measures how long the store was unreachable.
     watch_seconds : float, optional
         Time for which the store may hold one watch open.
+    gather_seconds : float, optional
+        Longest pause between two watches, in which changes gather.
 
     Attributes
     ----------
@@ -92,6 +98,10 @@
         Time of the store's last answer.
     reachable_since : float
         Time of the first answer, or of the first one after a failed call.
+    watching_since : float or None
+        Time at which the watch was sent that waits now; None in a pause.
+    call_requested : Event
+        Ends the present pause.
     is_history_checked, is_proven_complete : bool
         Whether the store's history was read, or tried to be read, since
         `reachable_since`, and whether it proved that every live target is
@@ -107,6 +117,7 @@
         "backoff",
         "clock",
         "watch_seconds",
+        "gather_seconds",
         "answer_seconds",
         "era",
         "revision",
@@ -115,6 +126,8 @@
         "unreachable_since",
         "last_contact_at",
         "reachable_since",
+        "watching_since",
+        "call_requested",
         "is_history_checked",
         "is_proven_complete",
         "loaded",
@@ -130,6 +143,7 @@
         backoff: Backoff,
         clock: Clock,
         watch_seconds: float = WATCH_SECONDS,
+        gather_seconds: float = GATHER_SECONDS,
     ):
         self.store = store
         self.directory = directory
@@ -137,6 +151,7 @@
         self.backoff = backoff
         self.clock = clock
         self.watch_seconds = watch_seconds
+        self.gather_seconds = gather_seconds
         self.answer_seconds = ANSWER_SECONDS
         self.era = 0
         self.revision = 0
@@ -145,6 +160,8 @@
         self.unreachable_since: float | None = None
         self.last_contact_at: float | None = None
         self.reachable_since = 0.0
+        self.watching_since: float | None = None
+        self.call_requested = Event()
         self.is_history_checked = False
         self.is_proven_complete = False
         self.loaded = Event()
@@ -172,9 +189,7 @@
         """Read all entries, or wait for the next changes."""
         self.calls += 1
         if self.can_watch:
-            changes = await self.store.watch(
-                self.revision, self.watch_seconds, self.answer_seconds
-            )
+            changes = await self.watch()
             if self.is_restored(changes):
                 raise StoreRestoredError(
                     f"watched era {self.era}, found era {changes.era} at"
@@ -204,7 +219,40 @@
         self.revision = changes.revision
         if self.routes.current.version > 0:
             self.loaded.set()
-        await sleep(GATHER_SECONDS)
+        if len(changes.listings) < MAX_GATHERED:
+            await self.pause()
+
+    async def watch(self) -> Changes:
+        """Wait for the next changes."""
+        self.watching_since = self.clock.now()
+        try:
+            return await self.store.watch(
+                self.revision, self.watch_seconds, self.answer_seconds
+            )
+        finally:
+            self.watching_since = None
+
+    async def pause(self) -> None:
+        """Let changes gather until the next call, or until it is requested.
+
+        While lapsed entries come back, the pause is short, since open flows
+        wait for them.
+        """
+        is_relisting = (
+            self.clock.now() - self.reachable_since <= RELISTING_SECONDS
+        )
+        seconds = GATHER_SECONDS if is_relisting else self.gather_seconds
+        self.call_requested.clear()
+        await sleep(MIN_GATHER_SECONDS)
+        try:
+            async with timeout(seconds - MIN_GATHER_SECONDS):
+                await self.call_requested.wait()
+        except TimeoutError:
+            return
+
+    def request_call(self) -> None:
+        """End the present pause, since a decision waits for the changes."""
+        self.call_requested.set()
 
     def is_restored(self, changes: Changes) -> bool:
         """Tell whether an answer is of a store restored since the last one.
@@ -231,8 +279,25 @@
         """Time since the store's last answer."""
         return self.clock.now() - (self.last_contact_at or 0.0)
 
-    def knows_all_targets(self) -> bool:
-        """Tell whether every live target is known.
+    def find_known_until(self) -> float:
+        """Return the time up to which the changes in the store are known.
+
+        A watch is answered at once if there are changes.
+        """
+        now = self.clock.now()
+        if (
+            self.watching_since is not None
+            and now - self.watching_since >= WATCH_SETTLE_SECONDS
+        ):
+            return now
+        return self.last_contact_at or 0.0
+
+    def knows_all_targets(self, until: float) -> bool:
+        """Tell whether every target is known that was live at a time."""
+        return self.is_list_complete() and self.find_known_until() >= until
+
+    def is_list_complete(self) -> bool:
+        """Tell whether every live target was known at the last answer.
 
         Entries that expired while the store was unreachable, possibly for
         others only, may be missing for RELISTING_SECONDS after the first
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -162,8 +162,25 @@
 of 5 Mbit/s that carries nothing else."""
 
 GATHER_SECONDS = 0.5
-"""Pause between two watch calls, so that several changes come in one answer;
-small against the 3 s in which they must be in force."""
+"""Shortest usual pause between two watch calls, so that several changes come
+in one answer; small against the 3 s in which they must be in force."""
+
+GATHER_BOUND_SHARE = 0.25
+"""Share of the time in which a change must be in force for which changes may
+gather: all balancers share the calls that the store bears, and a change also
+waits for a call that fails and its repetition."""
+
+MIN_GATHER_SECONDS = 0.2
+"""Pause between two watch calls that is kept also if a decision waits for the
+second one: callers repeat their packets after as much."""
+
+MAX_GATHERED = 250
+"""Changes in one answer from which more may be waiting, since answers are cut,
+so that the next call follows at once; half of the store's usual limit."""
+
+WATCH_SETTLE_SECONDS = 0.1
+"""Time after which an unanswered watch shows that there were no changes when
+it was sent; some ten times the store's answer time on a slow link."""
 
 LAPSE_SECONDS = 2.0
 """Time for which a target whose entry vanished from the store without draining
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -59,6 +59,9 @@
     undecided : dict of bytes to Segment
         Last packet of each flow that only unlisted targets may hold: it goes
         to leaving ones, or a live one may be missing in the list.
+    undecided_until : float
+        Time at which a target was last asked for one of the flows that a live
+        target may hold which is missing in the list.
     due : deque of bytes
         Undecided flows to look at again.
     last_changes : tuple of (int, bool)
@@ -75,6 +78,7 @@
         "history",
         "held",
         "undecided",
+        "undecided_until",
         "due",
         "last_changes",
     )
@@ -95,6 +99,7 @@
         self.history = history
         self.held = HeldPackets()
         self.undecided: OrderedDict[bytes, Segment] = OrderedDict()
+        self.undecided_until = 0.0
         self.due: deque[bytes] = deque()
         self.last_changes = (0, False)
 
@@ -372,14 +377,17 @@
         """Reset a flow that no target holds, if that is certain.
 
         While the store can't be reached, and shortly after, the live owner
-        may be missing in the list of targets. The flow is not reset then:
+        may be missing in the list of targets, and so may one that was listed
+        since the store's last answer. The flow is not reset then:
         its last packet is kept, and the flow is decided on once the list is
         complete.
         """
-        if state.has_lost_owner or self.output.follower.knows_all_targets():
+        follower = self.output.follower
+        if state.has_lost_owner or follower.knows_all_targets(state.asked_at):
             self.reset(segment, "held by no target")
             return
-        self.history.request_check()
+        self.undecided_until = max(self.undecided_until, state.asked_at)
+        self.request_certainty()
         self.keep_undecided(segment)
         self.output.count("unheld")
         self.output.record(
@@ -390,6 +398,12 @@
             "not all targets may be listed yet",
         )
 
+    def request_certainty(self) -> None:
+        """Have read what decides on flows that no known target holds."""
+        self.history.request_check()
+        if self.output.follower.is_list_complete():
+            self.output.follower.request_call()
+
     def reset(self, segment: Segment, reason: str) -> None:
         """Reset a flow that no target can hold."""
         self.forget(segment.flow)
@@ -418,9 +432,10 @@
         That is so once the list of targets is complete or has changed, which
         includes that leaving targets proved to have ended.
         """
-        is_complete = self.output.follower.knows_all_targets()
+        follower = self.output.follower
+        is_complete = follower.knows_all_targets(self.undecided_until)
         if self.undecided and not is_complete:
-            self.history.request_check()
+            self.request_certainty()
         changes = (self.directory.changes, is_complete)
         if not self.due and changes != self.last_changes:
             self.last_changes = changes
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -31,6 +31,8 @@
         Time that an answer takes.
     max_events : int
         Most changes that one answer holds; its revision is that of the last.
+    watchers : int
+        Calls that wait for a change now.
     calls, recalls : int
         Calls so far, and those for the history among them.
     """
@@ -48,6 +50,7 @@
         self.is_silent = False
         self.answer_seconds = ANSWER_SECONDS
         self.max_events = MAX_EVENTS
+        self.watchers = 0
         self.calls = 0
         self.recalls = 0
         self.changed = Event()
@@ -148,6 +151,7 @@
         await self.answer(seconds + answer_seconds)
         self.check_history(after)
         era = self.era
+        self.watchers += 1
         try:
             async with timeout(seconds):
                 while self.era == era and (
@@ -157,6 +161,8 @@
         except TimeoutError:
             if self.is_silent:
                 raise StoreError("no answer") from None
+        finally:
+            self.watchers -= 1
         if self.era != era:
             raise StoreError("the connection was cut")
         self.check_history(after)
--- a/tests/steering/history_steps.py
+++ b/tests/steering/history_steps.py
@@ -400,12 +400,12 @@
         balancer.history.request_check()
         await sleep(0.5)
         assert follower.is_history_checked
-        assert not follower.knows_all_targets()
+        assert not follower.is_list_complete()
         await sleep(seconds - 1.6)
         balancer.history.request_check()
-        assert not follower.knows_all_targets()
+        assert not follower.is_list_complete()
         await sleep(1.0)
-        assert follower.knows_all_targets()
+        assert follower.is_list_complete()
 
     context.run(check())
 
--- a/tests/steering/search.feature
+++ b/tests/steering/search.feature
@@ -213,3 +213,21 @@
     When balancer "b1" is replaced
     Then every open flow gets an answer from its host
     And every flow in a balancer's cache is confirmed
+
+  # A host that was listed since the last answer of the store counted as none.
+  Scenario: No flow is reset whose host was listed in the pause between two calls of the store
+    Given a fleet of 3 hosts and 1 balancers
+    And a balancer "b2" that has read the history and calls the store 0.3 s later than "b1"
+    When host "h60" joins and 16 flows open through "b1" while "b2" does not call the store
+    And balancer "b1" ends and every open flow asks
+    Then no caller was reset
+    And every open flow gets an answer from its host
+
+  # It was asked for only after the pause.
+  Scenario: Flows that no host holds are reset soon after they come in the pause between two calls of the store
+    Given a fleet of 3 hosts and 1 balancers
+    And a balancer "b2" that has read the history and calls the store 0.3 s later than "b1"
+    And 8 open flows
+    When every host loses what it knows while "b2" does not call the store
+    And balancer "b1" ends
+    Then every open flow is reset within 0.5 s of its next request
--- a/tests/steering/search_steps.py
+++ b/tests/steering/search_steps.py
@@ -12,6 +12,7 @@
 from chicorycart.address import Address
 from chicorycart.configuration.model import hash_name
 from chicorycart.links.datagrams import MessageKind
+from chicorycart.operation.stopping import wait_until
 from chicorycart.platform.segments import ACK
 from chicorycart.platform.segments import SYN
 from chicorycart.steering.messages import encode_delivery_header
@@ -27,6 +28,7 @@
 NEAR_SECONDS = 0.0002
 FAR_SECONDS = 0.0009
 SEARCH_SECONDS = 0.5
+PAUSE_SECONDS = 5.0
 
 
 def list_hosts(context, count, with_flows):
@@ -495,3 +497,74 @@
     callers = [caller for caller, _ in context.flows]
     results = context.run(upload_all(callers, count, seconds))
     assert all(results), (results.count(False), len(results))
+
+
+@given(
+    'a balancer "{name}" that has read the history and calls the store'
+    ' {seconds:g} s later than "b1"'
+)
+def add_late_balancer(context, name, seconds):
+    async def add():
+        await sleep(seconds)
+        context.fleet.add_balancer(name)
+        context.fleet.in_rotation.remove(name)
+        # From then on the store has been in reach for long enough.
+        await context.fleet.settle(4.0)
+        context.fleet.balancers[name].history.request_check()
+        await context.fleet.settle()
+
+    context.run(add())
+
+
+async def wait_for_pause(store):
+    """Wait until only the first of two balancers watches the store."""
+    for is_wanted in (lambda: not store.watchers, lambda: store.watchers):
+        await wait_until(is_wanted, PAUSE_SECONDS)
+
+
+@when(
+    'host "{name}" joins and {count:d} flows open through "b1" while "b2" does'
+    " not call the store"
+)
+def join_in_pause(context, name, count):
+    async def join():
+        fleet = context.fleet
+        await wait_for_pause(fleet.store)
+        fleet.add_host(name, SERVICE)
+        opened = await gather(*(fleet.open_flow() for _ in range(count)))
+        context.flows += [flow for flow in opened if flow[1] == name]
+
+    context.run(join())
+    assert context.flows
+
+
+@when('every host loses what it knows while "b2" does not call the store')
+def lose_in_pause(context):
+    async def lose():
+        await wait_for_pause(context.fleet.store)
+        for host in context.fleet.hosts.values():
+            host.restart()
+
+    context.run(lose())
+
+
+@when('balancer "{name}" ends')
+def end_balancer(context, name):
+    fleet = context.fleet
+    fleet.in_rotation.append("b2")
+
+    async def end():
+        fleet.kill_balancer(name)
+
+    context.run(end())
+
+
+@when('balancer "{name}" ends and every open flow asks')
+def end_and_ask(context, name):
+    end_balancer(context, name)
+
+    async def ask():
+        callers = [caller for caller, _ in context.flows]
+        await gather(*(caller.ask(b"at once", 0.3) for caller in callers))
+
+    context.run(ask())
