--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -130,8 +130,9 @@
         output.record(
             "flow_unknown",
             segment.flow,
-            "service={} agents={}",
+            "service={} closing={} agents={}",
             state.service,
+            segment.is_closing,
             join_agents(state.candidates),
         )
         return state
