Ask silent targets of a search again, and bound the answers awaited at once

Change: after 0.1 s without an answer the awaited targets of a group are asked again; after another 0.1 s the next group is asked beside them, unless a single one is silent that was heard of meanwhile, which may be the owner at work. Ends of flows get no reminder, nor does a balancer remind that is late itself. While 128 answers are awaited in all searches, groups stay at four.

--- a/chicorycart/steering/flows.py
+++ b/chicorycart/steering/flows.py
@@ -66,6 +66,10 @@
         those that were asked and did not return the flow.
     awaited : list of Address
         Candidates of the last group that are expected to answer soon.
+    answer_due_at : float
+        Time from which awaited candidates count as silent.
+    reminders : int
+        Times that they were found silent since they were asked.
     non_owners : list of Address
         Agents that returned the open flow, since their hosts don't hold it.
     timer : TimerHandle or None
@@ -94,6 +98,8 @@
         "possible_owners",
         "candidates",
         "awaited",
+        "answer_due_at",
+        "reminders",
         "non_owners",
         "timer",
     )
@@ -120,6 +126,8 @@
         self.possible_owners: list[Address] = []
         self.candidates: list[Address] = []
         self.awaited: list[Address] = []
+        self.answer_due_at = 0.0
+        self.reminders = 0
         self.non_owners: list[Address] = []
         self.timer: TimerHandle | None = None
 
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -82,6 +82,19 @@
 """Most bytes of one group's copies of a packet: 26 ms of a link of 10 Mbit/s,
 on which other callers' packets wait behind them."""
 
+MAX_AWAITED = 128
+"""Targets of all searches together that may answer at the same time, from
+which on groups stay at SEARCH_GROUP: half of what a receive buffer of 212 KB
+holds (277 datagrams with the kernel's overhead)."""
+
+REMINDER_SECONDS = 0.1
+"""Time without an answer after which a target is asked again for a flow: ten
+round trips and more, half the time after which callers repeat."""
+
+MAX_REMINDERS = 2
+"""Times that the silent targets of a group are looked at: they are asked again
+first, then others beside them."""
+
 RETRY_BATCH = 64
 """Undecided flows that are looked at in one turn; ranking the targets of each
 takes some 100 us."""
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -10,11 +10,16 @@
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.held import HeldPackets
 from chicorycart.steering.history import HistoryCheck
+from chicorycart.steering.limits import LATE_TIMER_SECONDS
+from chicorycart.steering.limits import MAX_AWAITED
 from chicorycart.steering.limits import MAX_CLOSING_TARGETS
 from chicorycart.steering.limits import MAX_PARKED
+from chicorycart.steering.limits import MAX_REMINDERS
 from chicorycart.steering.limits import MAX_SEARCH_BYTES
 from chicorycart.steering.limits import MAX_UNDECIDED_SECONDS
 from chicorycart.steering.limits import MIN_REPETITION_SECONDS
+from chicorycart.steering.limits import REMINDER_SECONDS
+from chicorycart.steering.limits import RESUME_SECONDS
 from chicorycart.steering.limits import RETRY_BATCH
 from chicorycart.steering.limits import SEARCH_GROUP
 from chicorycart.steering.limits import SEARCH_GROWTH
@@ -34,8 +39,9 @@
     Targets are asked in groups, first the SEARCH_GROUP on which the flow was
     most likely placed, then SEARCH_GROWTH times as many in each turn. The next
     group is asked once all of the last one returned the packet, or the caller
-    repeats it. Other packets of the flow wait, so that a search costs one
-    packet for each target.
+    repeats it. Those that return nothing are asked again, since packets get
+    lost; if they stay silent, the next group is asked beside them. Other
+    packets of the flow wait, so that a search costs few packets a target.
 
     Parameters
     ----------
@@ -60,6 +66,11 @@
     undecided : dict of bytes to Segment
         Last packet of each flow that only unlisted targets may hold: it goes
         to leaving ones, or a live one may be missing in the list.
+    asked : OrderedDict of bytes to SteeredFlow
+        Flows whose targets were asked and may still return them, in the order
+        in which they were asked.
+    reminded_at : float
+        Time of the last turn in which silent targets were looked for.
     undecided_until : float
         Time at which a target was last asked for one of the flows that a live
         target may hold which is missing in the list.
@@ -78,6 +89,8 @@
         "output",
         "history",
         "held",
+        "asked",
+        "reminded_at",
         "undecided",
         "undecided_until",
         "due",
@@ -99,6 +112,8 @@
         self.output = output
         self.history = history
         self.held = HeldPackets()
+        self.asked: OrderedDict[bytes, SteeredFlow] = OrderedDict()
+        self.reminded_at = 0.0
         self.undecided: OrderedDict[bytes, Segment] = OrderedDict()
         self.undecided_until = 0.0
         self.due: deque[bytes] = deque()
@@ -163,7 +178,8 @@
         list of Address
             The added targets; empty if every possible owner was asked.
         """
-        if segment.is_closing and count_asked(state) >= MAX_CLOSING_TARGETS:
+        size = find_group_size(state, segment, self.count_awaited())
+        if not size:
             return []
         remaining = self.list_remaining_owners(state)
         if not remaining:
@@ -172,25 +188,41 @@
                 state.service, state.flow
             )
             remaining = self.list_remaining_owners(state)
-        size = find_group_size(state, segment)
-        added = []
-        awaited = []
-        for agent in remaining[: 2 * size]:
-            added.append(agent)
-            if self.is_responsive(agent):
-                awaited.append(agent)
-            if len(awaited) == size:
-                break
+        added, awaited = self.pick_group(remaining, size)
         if len(added) == len(remaining) and state.non_owners:
             # If these return it too, what decides is known by then.
             self.request_history()
         if added:
             state.awaited = awaited
+            state.reminders = 0
             state.candidates += added
             state.agent = state.candidates[0]
             state.is_confirmed = False
         return added
 
+    def pick_group(
+        self, remaining: list[Address], size: int
+    ) -> tuple[list[Address], list[Address]]:
+        """Return the targets to be asked next, and the responsive ones.
+
+        Parameters
+        ----------
+        remaining : list of Address
+            Possible owners that were not asked yet, most likely first.
+        size : int
+            Number of responsive targets; with the others, twice as many are
+            asked at most.
+        """
+        added = []
+        awaited = []
+        for agent in remaining[: 2 * size]:
+            added.append(agent)
+            if self.is_responsive(agent):
+                awaited.append(agent)
+            if len(awaited) == size:
+                break
+        return added, awaited
+
     def is_responsive(self, agent: Address) -> bool:
         """Tell whether a target is expected to answer at once."""
         return not (
@@ -259,6 +291,7 @@
     ) -> None:
         """Send a packet of an open flow to agents whose hosts may hold it."""
         state.asked_at = self.health.clock.now()
+        self.expect_answers(state)
         self.held.set_probe(segment)
         if segment.has_contents:
             for agent in agents:
@@ -270,6 +303,65 @@
         self.output.count("forwarded")
         self.output.deliver(state, segment.raw, agents, asks_owner=True)
 
+    def expect_answers(self, state: SteeredFlow) -> None:
+        """Note that targets were just asked for a flow."""
+        state.answer_due_at = self.health.clock.now() + REMINDER_SECONDS
+        self.asked[state.flow] = state
+        self.asked.move_to_end(state.flow)
+        if len(self.asked) > MAX_PARKED:
+            self.asked.popitem(last=False)
+
+    def count_awaited(self) -> int:
+        """Return how many targets are expected to answer soon."""
+        return sum(len(state.awaited) for state in self.asked.values())
+
+    def remind_silent(self) -> None:
+        """Ask targets again that have not answered for some time.
+
+        A balancer that is late itself may have their answers still to read.
+        """
+        now = self.health.clock.now()
+        is_late = now - self.reminded_at > RESUME_SECONDS + LATE_TIMER_SECONDS
+        self.reminded_at = now
+        due = []
+        for state in self.asked.values():
+            if now < state.answer_due_at:
+                break
+            due.append(state)
+        for state in due:
+            if not state.awaited:
+                del self.asked[state.flow]
+            elif not is_late:
+                del self.asked[state.flow]
+                self.remind(state)
+
+    def remind(self, state: SteeredFlow) -> None:
+        """Ask the silent targets of a flow again, then others beside them.
+
+        A single one that was heard of meanwhile may be the owner, whose host
+        works on the request.
+        """
+        probe = self.held.find(state.flow).probe
+        if (
+            probe is None
+            or not probe.has_contents
+            or probe.is_closing
+            or state.reminders == MAX_REMINDERS
+            or self.output.flows.flows.get(state.flow) is not state
+        ):
+            return
+        silent = list(state.awaited)
+        state.reminders += 1
+        may_be_owner = len(silent) == 1 and self.health.was_heard_since(
+            silent[0], state.asked_at
+        )
+        if state.reminders == MAX_REMINDERS and not may_be_owner:
+            self.add_and_ask(state, probe, silent[0])
+            return
+        self.expect_answers(state)
+        self.output.count("asked again")
+        self.output.deliver(state, probe.raw, silent, asks_owner=True)
+
     def resume(self, state: SteeredFlow, segment: Segment) -> None:
         """Send a packet that waited until a candidate is responsive."""
         agents = state.candidates or [state.agent]
@@ -514,14 +606,39 @@
                 state.non_owners.append(agent)
 
 
-def find_group_size(state: SteeredFlow, segment: Segment) -> int:
+def find_group_size(state: SteeredFlow, segment: Segment, awaited: int) -> int:
     """Return how many targets are to be asked next for the owner of a flow.
 
     The groups grow, so that a flow that no target holds takes few turns in a
-    large service, but the copies of a large packet do not fill a thin link.
+    large service. But the copies of a large packet are not to fill a thin
+    link, nor the answers of all searches the own receive buffer.
+
+    Parameters
+    ----------
+    state : SteeredFlow
+        The flow.
+    segment : Segment
+        Packet that they will be sent.
+    awaited : int
+        Targets that are expected to answer soon, in all searches.
+
+    Returns
+    -------
+    int
+        0 if the segment ends the flow and enough were asked.
     """
-    copies = MAX_SEARCH_BYTES // len(segment.raw)
-    return max(SEARCH_GROUP, min(SEARCH_GROWTH * count_asked(state), copies))
+    asked = count_asked(state)
+    size = max(
+        SEARCH_GROUP,
+        min(
+            SEARCH_GROWTH * asked,
+            MAX_SEARCH_BYTES // len(segment.raw),
+            MAX_AWAITED - awaited,
+        ),
+    )
+    if segment.is_closing:
+        return max(0, min(size, MAX_CLOSING_TARGETS - asked))
+    return size
 
 
 def count_asked(state: SteeredFlow) -> int:
--- a/tests/steering/large_fleets_steps.py
+++ b/tests/steering/large_fleets_steps.py
@@ -1,5 +1,7 @@
 """Steps on fleets of a hundred hosts and more."""
 
+from asyncio import create_task
+from asyncio import gather
 from asyncio import sleep
 from collections import Counter
 
@@ -7,10 +9,14 @@
 from behave import then
 from behave import when
 
+from chicorycart.links.datagrams import MessageKind
+from chicorycart.steering.messages import decode_delivery
 from tests.standins.deliveries import DeliveryLog
+from tests.standins.endpoints import read_head
 
 SEARCH_SECONDS = 1.0
 TURN_SECONDS = 0.1
+WATCH_STEP_SECONDS = 0.0005
 
 
 @given("messages between daemons that take {seconds:g} s")
@@ -111,3 +117,45 @@
     for caller, name in context.flows:
         host = context.fleet.hosts[name].address.host
         assert host in context.log.agents[caller.address]
+
+
+@when("the first packet of each flow to each of {count:d} hosts is lost")
+def lose_first_packets(context, count):
+    fleet = context.fleet
+    hosts = list(fleet.hosts.values())[:count]
+    addresses = {host.address.host for host in hosts}
+    seen = set()
+
+    def lose(source, data, destination):
+        is_delivery = data[0] == MessageKind.DELIVERY
+        if destination.host not in addresses or not is_delivery:
+            return False
+        _, packet = decode_delivery(data[1:])
+        caller, *_ = read_head(packet)
+        is_first = (caller, destination) not in seen
+        seen.add((caller, destination))
+        return is_first
+
+    fleet.network.faults.append(lose)
+
+
+@then("requests on all flows at once await at most {count:d} answers")
+def check_awaited(context, count):
+    balancer = context.fleet.balancers["b1"]
+    search = balancer.steerer.search
+    most = 0
+
+    async def watch():
+        nonlocal most
+        while True:
+            most = max(most, search.count_awaited())
+            await sleep(WATCH_STEP_SECONDS)
+
+    async def ask_all():
+        watching = create_task(watch())
+        callers = [caller for caller, _ in context.flows]
+        await gather(*(c.ask(b"all", SEARCH_SECONDS) for c in callers))
+        watching.cancel()
+
+    context.run(ask_all())
+    assert 0 < most <= count, most
