Split the search: candidates, awaited answers and undecided flows

Which targets are asked next is in candidates.py, who has yet to answer in awaited.py, flows that cannot be decided on yet in undecided.py.

--- /dev/null
+++ b/chicorycart/steering/candidates.py
@@ -0,0 +1,163 @@
+"""Chooses the targets that are asked next for the owner of an open flow."""
+
+from chicorycart.address import Address
+from chicorycart.packets.segment import Segment
+from chicorycart.steering.choice import TargetChoice
+from chicorycart.steering.flows import SteeredFlow
+from chicorycart.steering.health import HealthTable
+from chicorycart.steering.limits import MAX_AWAITED
+from chicorycart.steering.limits import MAX_CLOSING_TARGETS
+from chicorycart.steering.limits import MAX_SEARCH_BYTES
+from chicorycart.steering.limits import SEARCH_GROUP
+from chicorycart.steering.limits import SEARCH_GROWTH
+
+
+class CandidateChoice:
+    """Chooses the next group of possible owners of a flow.
+
+    The first group are the SEARCH_GROUP targets on which the flow was most
+    likely placed; each further one has SEARCH_GROWTH times as many as were
+    asked before.
+
+    Parameters
+    ----------
+    choice : TargetChoice
+        Ranks the possible owners of a flow.
+    health : HealthTable
+        Tells which targets are suspended.
+
+    Attributes
+    ----------
+    directory : Directory
+        Known targets.
+    """
+
+    __slots__ = ("choice", "directory", "health")
+
+    def __init__(self, choice: TargetChoice, health: HealthTable):
+        self.choice = choice
+        self.directory = choice.directory
+        self.health = health
+
+    def add(
+        self, state: SteeredFlow, segment: Segment, awaited: int
+    ) -> list[Address]:
+        """Add the next group of targets to the candidates of a flow.
+
+        Suspended and silent targets are added in passing: they may hold the
+        flow, but are not expected to answer, so that they delay no others.
+        The end of a flow is offered to the most likely targets alone.
+
+        Parameters
+        ----------
+        state : SteeredFlow
+            The flow.
+        segment : Segment
+            Packet that they will be sent.
+        awaited : int
+            Targets that are expected to answer soon, in all searches.
+
+        Returns
+        -------
+        list of Address
+            The added targets; empty if every possible owner was asked.
+        """
+        size = find_group_size(state, segment, awaited)
+        if not size:
+            return []
+        remaining = self.list_remaining(state)
+        if not remaining:
+            # Targets may have been listed since the last ranking.
+            state.possible_owners = self.choice.list_possible_owners(
+                state.service, state.flow
+            )
+            remaining = self.list_remaining(state)
+        added, responsive = self.pick_group(remaining, size)
+        if added:
+            state.awaited = responsive
+            state.reminders = 0
+            state.candidates += added
+            state.agent = state.candidates[0]
+            state.is_confirmed = False
+        return added
+
+    def pick_group(
+        self, remaining: list[Address], size: int
+    ) -> tuple[list[Address], list[Address]]:
+        """Return the targets to be asked next, and the responsive ones.
+
+        Parameters
+        ----------
+        remaining : list of Address
+            Possible owners that were not asked yet, most likely first.
+        size : int
+            Number of responsive targets; with the others, twice as many are
+            asked at most.
+        """
+        added = []
+        responsive = []
+        for agent in remaining[: 2 * size]:
+            added.append(agent)
+            if self.is_responsive(agent):
+                responsive.append(agent)
+            if len(responsive) == size:
+                break
+        return added, responsive
+
+    def is_responsive(self, agent: Address) -> bool:
+        """Tell whether a target is expected to answer at once."""
+        return not (
+            self.health.is_suspended(agent) or self.directory.is_silent(agent)
+        )
+
+    def list_remaining(self, state: SteeredFlow) -> list[Address]:
+        """Return the known agents that were not asked for a flow yet."""
+        return [
+            agent
+            for agent in state.possible_owners
+            if agent not in state.non_owners
+            and agent not in state.candidates
+            and self.directory.is_possible_owner(agent)
+        ]
+
+    def drop_gone(self, state: SteeredFlow) -> None:
+        """Remove the candidates of a flow that hold no flows any more."""
+        for agent in list(state.candidates):
+            if not self.directory.is_possible_owner(agent):
+                state.drop_candidate(agent)
+                state.non_owners.append(agent)
+
+
+def find_group_size(state: SteeredFlow, segment: Segment, awaited: int) -> int:
+    """Return how many targets are to be asked next for the owner of a flow.
+
+    The groups grow, so that a flow that no target holds takes few turns in a
+    large service. But the copies of a large packet are not to fill a thin
+    link, nor the answers of all searches the own receive buffer.
+
+    Parameters
+    ----------
+    state : SteeredFlow
+        The flow.
+    segment : Segment
+        Packet that they will be sent.
+    awaited : int
+        Targets that are expected to answer soon, in all searches.
+
+    Returns
+    -------
+    int
+        0 if the segment ends the flow and enough were asked.
+    """
+    asked = len(state.non_owners) + len(state.candidates)
+    size = max(
+        SEARCH_GROUP,
+        min(
+            SEARCH_GROWTH * asked,
+            MAX_SEARCH_BYTES // len(segment.raw),
+            MAX_AWAITED - awaited,
+        ),
+    )
+    if segment.is_closing:
+        return max(0, min(size, MAX_CLOSING_TARGETS - asked))
+    return size
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -1,31 +1,21 @@
 """Finds the host of an open flow that a balancer has no state for."""
 
-from collections import deque
-from collections import OrderedDict
-
 from chicorycart.address import Address
 from chicorycart.packets.segment import Segment
+from chicorycart.steering.awaited import AwaitedAnswers
+from chicorycart.steering.candidates import CandidateChoice
 from chicorycart.steering.choice import TargetChoice
 from chicorycart.steering.flows import SteeredFlow
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.held import HeldPackets
 from chicorycart.steering.history import HistoryCheck
-from chicorycart.steering.limits import LATE_TIMER_SECONDS
-from chicorycart.steering.limits import MAX_AWAITED
-from chicorycart.steering.limits import MAX_CLOSING_TARGETS
-from chicorycart.steering.limits import MAX_PARKED
 from chicorycart.steering.limits import MAX_REMINDERS
-from chicorycart.steering.limits import MAX_SEARCH_BYTES
 from chicorycart.steering.limits import MAX_UNDECIDED_SECONDS
 from chicorycart.steering.limits import MIN_REPETITION_SECONDS
-from chicorycart.steering.limits import REMINDER_SECONDS
-from chicorycart.steering.limits import RESUME_SECONDS
-from chicorycart.steering.limits import RETRY_BATCH
-from chicorycart.steering.limits import SEARCH_GROUP
-from chicorycart.steering.limits import SEARCH_GROWTH
 from chicorycart.steering.output import join_agents
 from chicorycart.steering.output import SteererOutput
 from chicorycart.steering.parked import ParkedPackets
+from chicorycart.steering.undecided import UndecidedFlows
 
 
 class OwnerSearch:
@@ -36,9 +26,8 @@
     Only a return proves that a target is not the owner: until then it stays
     a candidate, which also gets what the caller repeats.
 
-    Targets are asked in groups, first the SEARCH_GROUP on which the flow was
-    most likely placed, then SEARCH_GROWTH times as many in each turn. The next
-    group is asked once all of the last one returned the packet, or the caller
+    Targets are asked in groups, the most likely ones first. The next group is
+    asked once all of the last one returned the packet, or the caller
     repeats it. Those that return nothing are asked again, since packets get
     lost; if they stay silent, the next group is asked beside them. Other
     packets of the flow wait, so that a search costs few packets a target.
@@ -59,6 +48,8 @@
 
     Attributes
     ----------
+    candidates : CandidateChoice
+        Chooses which targets are asked next.
     directory : Directory
         Known targets.
     held : HeldPackets
@@ -66,35 +57,23 @@
     undecided : dict of bytes to Segment
         Last packet of each flow that only unlisted targets may hold: it goes
         to leaving ones, or a live one may be missing in the list.
-    asked : OrderedDict of bytes to SteeredFlow
-        Flows whose targets were asked and may still return them, in the order
-        in which they were asked.
-    reminded_at : float
-        Time of the last turn in which silent targets were looked for.
-    undecided_until : float
-        Time at which a target was last asked for one of the flows that a live
-        target may hold which is missing in the list.
-    due : deque of bytes
-        Undecided flows to look at again.
-    last_changes : tuple of (int, bool)
-        What was known of the targets when `due` was filled: the number of
-        changes of the list, and whether it was complete.
+    awaited : AwaitedAnswers
+        Flows of which targets were asked that have yet to answer.
+    undecided : UndecidedFlows
+        Flows that only unlisted targets may hold: leaving ones, or a live one
+        that is missing in the list.
     """
 
     __slots__ = (
-        "choice",
+        "candidates",
         "directory",
         "health",
         "parked",
         "output",
         "history",
         "held",
-        "asked",
-        "reminded_at",
+        "awaited",
         "undecided",
-        "undecided_until",
-        "due",
-        "last_changes",
     )
 
     def __init__(
@@ -105,19 +84,15 @@
         output: SteererOutput,
         history: HistoryCheck,
     ):
-        self.choice = choice
+        self.candidates = CandidateChoice(choice, health)
         self.directory = choice.directory
         self.health = health
         self.parked = parked
         self.output = output
         self.history = history
         self.held = HeldPackets()
-        self.asked: OrderedDict[bytes, SteeredFlow] = OrderedDict()
-        self.reminded_at = 0.0
-        self.undecided: OrderedDict[bytes, Segment] = OrderedDict()
-        self.undecided_until = 0.0
-        self.due: deque[bytes] = deque()
-        self.last_changes = (0, False)
+        self.awaited = AwaitedAnswers(health.clock)
+        self.undecided = UndecidedFlows()
 
     def begin(self, segment: Segment) -> SteeredFlow | None:
         """Start the search for the owner of an open flow.
@@ -155,90 +130,24 @@
     def forget(self, flow: bytes) -> None:
         """Forget the packets of an earlier flow with the same five-tuple."""
         self.held.drop(flow)
-        self.undecided.pop(flow, None)
+        self.undecided.drop(flow)
 
     def add_candidates(
         self, state: SteeredFlow, segment: Segment
     ) -> list[Address]:
         """Add the next group of targets to the candidates of a flow.
 
-        Suspended and silent targets are added in passing: they may hold the
-        flow, but are not expected to answer, so that they delay no others.
-        The end of a flow is offered to the most likely targets alone.
-
-        Parameters
-        ----------
-        state : SteeredFlow
-            The flow.
-        segment : Segment
-            Packet that they will be sent.
-
         Returns
         -------
         list of Address
             The added targets; empty if every possible owner was asked.
         """
-        size = find_group_size(state, segment, self.count_awaited())
-        if not size:
-            return []
-        remaining = self.list_remaining_owners(state)
-        if not remaining:
-            # Targets may have been listed since the last ranking.
-            state.possible_owners = self.choice.list_possible_owners(
-                state.service, state.flow
-            )
-            remaining = self.list_remaining_owners(state)
-        added, awaited = self.pick_group(remaining, size)
-        if len(added) == len(remaining) and state.non_owners:
-            # If these return it too, what decides is known by then.
+        added = self.candidates.add(state, segment, self.awaited.count())
+        if state.non_owners and not self.candidates.list_remaining(state):
+            # If the last ones return it too, what decides is known by then.
             self.request_history()
-        if added:
-            state.awaited = awaited
-            state.reminders = 0
-            state.candidates += added
-            state.agent = state.candidates[0]
-            state.is_confirmed = False
         return added
 
-    def pick_group(
-        self, remaining: list[Address], size: int
-    ) -> tuple[list[Address], list[Address]]:
-        """Return the targets to be asked next, and the responsive ones.
-
-        Parameters
-        ----------
-        remaining : list of Address
-            Possible owners that were not asked yet, most likely first.
-        size : int
-            Number of responsive targets; with the others, twice as many are
-            asked at most.
-        """
-        added = []
-        awaited = []
-        for agent in remaining[: 2 * size]:
-            added.append(agent)
-            if self.is_responsive(agent):
-                awaited.append(agent)
-            if len(awaited) == size:
-                break
-        return added, awaited
-
-    def is_responsive(self, agent: Address) -> bool:
-        """Tell whether a target is expected to answer at once."""
-        return not (
-            self.health.is_suspended(agent) or self.directory.is_silent(agent)
-        )
-
-    def list_remaining_owners(self, state: SteeredFlow) -> list[Address]:
-        """Return the known agents that were not asked for a flow yet."""
-        return [
-            agent
-            for agent in state.possible_owners
-            if agent not in state.non_owners
-            and agent not in state.candidates
-            and self.directory.is_possible_owner(agent)
-        ]
-
     def forward(self, state: SteeredFlow, segment: Segment) -> None:
         """Send a caller's packet of an open flow to the flow's owner.
 
@@ -273,7 +182,7 @@
             self.lose_owner(state, segment, state.agent)
             return
         if self.directory.is_leaving(state.agent):
-            self.keep_undecided(segment)
+            self.undecided.keep(segment)
         self.output.count("forwarded")
         self.output.deliver(state, segment.raw, [state.agent])
 
@@ -291,7 +200,7 @@
     ) -> None:
         """Send a packet of an open flow to agents whose hosts may hold it."""
         state.asked_at = self.health.clock.now()
-        self.expect_answers(state)
+        self.awaited.expect(state)
         self.held.set_probe(segment)
         if segment.has_contents:
             for agent in agents:
@@ -299,41 +208,14 @@
         if all(map(self.health.is_suspended, agents)):
             self.parked.put_data(segment, state)
         if self.depends_on_leaving(state):
-            self.keep_undecided(segment)
+            self.undecided.keep(segment)
         self.output.count("forwarded")
         self.output.deliver(state, segment.raw, agents, asks_owner=True)
 
-    def expect_answers(self, state: SteeredFlow) -> None:
-        """Note that targets were just asked for a flow."""
-        state.answer_due_at = self.health.clock.now() + REMINDER_SECONDS
-        self.asked[state.flow] = state
-        self.asked.move_to_end(state.flow)
-        if len(self.asked) > MAX_PARKED:
-            self.asked.popitem(last=False)
-
-    def count_awaited(self) -> int:
-        """Return how many targets are expected to answer soon."""
-        return sum(len(state.awaited) for state in self.asked.values())
-
     def remind_silent(self) -> None:
-        """Ask targets again that have not answered for some time.
-
-        A balancer that is late itself may have their answers still to read.
-        """
-        now = self.health.clock.now()
-        is_late = now - self.reminded_at > RESUME_SECONDS + LATE_TIMER_SECONDS
-        self.reminded_at = now
-        due = []
-        for state in self.asked.values():
-            if now < state.answer_due_at:
-                break
-            due.append(state)
-        for state in due:
-            if not state.awaited:
-                del self.asked[state.flow]
-            elif not is_late:
-                del self.asked[state.flow]
-                self.remind(state)
+        """Ask targets again that have not answered for some time."""
+        for state in self.awaited.take_silent():
+            self.remind(state)
 
     def remind(self, state: SteeredFlow) -> None:
         """Ask the silent targets of a flow again, then others beside them.
@@ -358,7 +240,7 @@
         if state.reminders == MAX_REMINDERS and not may_be_owner:
             self.add_and_ask(state, probe, silent[0])
             return
-        self.expect_answers(state)
+        self.awaited.expect(state)
         self.output.count("asked again")
         self.output.deliver(state, probe.raw, silent, asks_owner=True)
 
@@ -483,15 +365,15 @@
         complete.
         """
         follower = self.output.follower
-        if segment.is_closing and self.list_remaining_owners(state):
+        if segment.is_closing and self.candidates.list_remaining(state):
             self.output.count("end unheld")
             return
         if state.has_lost_owner or follower.knows_all_targets(state.asked_at):
             self.reset(segment, "held by no target")
             return
-        self.undecided_until = max(self.undecided_until, state.asked_at)
+        self.undecided.until = max(self.undecided.until, state.asked_at)
         self.request_certainty()
-        self.keep_undecided(segment)
+        self.undecided.keep(segment)
         self.output.count("unheld")
         self.output.record(
             "flow_left",
@@ -517,18 +399,6 @@
         self.forget(segment.flow)
         self.output.reset_flow(segment, reason)
 
-    def keep_undecided(self, segment: Segment) -> None:
-        """Keep a flow's last packet until the flow can be decided on.
-
-        A flow that its caller ends needs no decision.
-        """
-        if segment.is_closing:
-            self.undecided.pop(segment.flow, None)
-            return
-        self.undecided[segment.flow] = segment
-        if len(self.undecided) > MAX_PARKED:
-            self.undecided.popitem(last=False)
-
     def depends_on_leaving(self, state: SteeredFlow) -> bool:
         """Tell whether only leaving targets may still hold a flow."""
         agents = state.candidates or [state.agent]
@@ -541,27 +411,20 @@
         includes that leaving targets proved to have ended.
         """
         follower = self.output.follower
-        is_complete = follower.knows_all_targets(self.undecided_until)
-        if self.undecided and not is_complete:
+        is_complete = follower.knows_all_targets(self.undecided.until)
+        if len(self.undecided) and not is_complete:
             self.request_certainty()
-        changes = (self.directory.changes, is_complete)
-        if not self.due and changes != self.last_changes:
-            self.last_changes = changes
-            self.due.extend(self.undecided)
         oldest = self.health.clock.now() - MAX_UNDECIDED_SECONDS
-        for _ in range(min(len(self.due), RETRY_BATCH)):
-            flow = self.due.popleft()
-            segment = self.undecided.get(flow)
-            if segment is None:
-                continue
+        changes = (self.directory.changes, is_complete)
+        for segment in self.undecided.take_due(changes):
             # FlowCache.find would keep the idle flow from being dropped.
-            state = self.output.flows.flows.get(flow)
+            state = self.output.flows.flows.get(segment.flow)
             if (
                 state is None
                 or not state.is_open
                 or state.last_active_at < oldest
             ):
-                del self.undecided[flow]
+                self.undecided.drop(segment.flow)
             elif state.is_confirmed:
                 self.retry_confirmed(state, segment)
             else:
@@ -572,7 +435,7 @@
         if self.directory.has_ended(state.agent):
             self.reset(segment, "its host has ended")
         elif not self.directory.is_leaving(state.agent):
-            del self.undecided[state.flow]
+            self.undecided.drop(state.flow)
 
     def retry(
         self, state: SteeredFlow, segment: Segment, is_complete: bool
@@ -589,58 +452,11 @@
             Whether every live target is known.
         """
         was_asked = bool(state.candidates)
-        self.drop_gone_candidates(state)
+        self.candidates.drop_gone(state)
         if state.candidates:
             return
         if self.add_and_ask(state, segment, state.agent):
             if not self.depends_on_leaving(state):
-                self.undecided.pop(state.flow, None)
+                self.undecided.drop(state.flow)
         elif is_complete or was_asked:
             self.give_up(state, segment)
-
-    def drop_gone_candidates(self, state: SteeredFlow) -> None:
-        """Remove the candidates that hold no flows any more."""
-        for agent in list(state.candidates):
-            if not self.directory.is_possible_owner(agent):
-                state.drop_candidate(agent)
-                state.non_owners.append(agent)
-
-
-def find_group_size(state: SteeredFlow, segment: Segment, awaited: int) -> int:
-    """Return how many targets are to be asked next for the owner of a flow.
-
-    The groups grow, so that a flow that no target holds takes few turns in a
-    large service. But the copies of a large packet are not to fill a thin
-    link, nor the answers of all searches the own receive buffer.
-
-    Parameters
-    ----------
-    state : SteeredFlow
-        The flow.
-    segment : Segment
-        Packet that they will be sent.
-    awaited : int
-        Targets that are expected to answer soon, in all searches.
-
-    Returns
-    -------
-    int
-        0 if the segment ends the flow and enough were asked.
-    """
-    asked = count_asked(state)
-    size = max(
-        SEARCH_GROUP,
-        min(
-            SEARCH_GROWTH * asked,
-            MAX_SEARCH_BYTES // len(segment.raw),
-            MAX_AWAITED - awaited,
-        ),
-    )
-    if segment.is_closing:
-        return max(0, min(size, MAX_CLOSING_TARGETS - asked))
-    return size
-
-
-def count_asked(state: SteeredFlow) -> int:
-    """Return how many targets were asked for the owner of a flow."""
-    return len(state.non_owners) + len(state.candidates)
--- a/tests/steering/large_fleets_steps.py
+++ b/tests/steering/large_fleets_steps.py
@@ -148,7 +148,7 @@
     async def watch():
         nonlocal most
         while True:
-            most = max(most, search.count_awaited())
+            most = max(most, search.awaited.count())
             await sleep(WATCH_STEP_SECONDS)
 
     async def ask_all():
