Pause after a full read however many entries it has

Cause, found by reading: without a pause after answers of 250 changes or more, a balancer of a site of 250 hosts read everything in a loop until the operator wrote the first configuration. The scenario saw more than 120 calls in 60 s before.

Change: only a watch's answer may be one of several. read_once is split into what a watch and what a full read changes. A second scenario shows that 1,200 changes at once are known after one pause; it fails without the rule.

--- a/chicorycart/steering/follow.py
+++ b/chicorycart/steering/follow.py
@@ -188,40 +188,53 @@
     async def read_once(self) -> None:
         """Read all entries, or wait for the next changes."""
         self.calls += 1
-        if self.can_watch:
+        is_watch = self.can_watch
+        if is_watch:
             changes = await self.watch()
-            if self.is_restored(changes):
-                raise StoreRestoredError(
-                    f"watched era {self.era}, found era {changes.era} at"
-                    f" revision {changes.revision}"
-                )
-            for change in changes.listings:
-                self.directory.apply(change)
+            self.apply_watched(changes)
         else:
             changes = await self.store.read_all(self.answer_seconds)
-            is_restored = self.is_restored(changes)
-            if is_restored:
-                self.record_restore(changes)
-            elif self.last_contact_at is None and changes.era > FIRST_ERA:
-                # It may have been restored just before this process started.
-                self.restored_at = self.clock.now()
-            self.directory.replace(
-                changes.listings, changes.revision, is_restored
-            )
-            # Before the operator's first write there is no configuration to
-            # watch, so everything is read again each time.
-            self.can_watch = (
-                changes.routes is not None or self.routes.current.version > 0
-            )
+            self.replace_all(changes)
         self.record_contact()
         self.activate_routes(changes)
         self.era = changes.era
         self.revision = changes.revision
         if self.routes.current.version > 0:
             self.loaded.set()
-        if len(changes.listings) < MAX_GATHERED:
+        if not (is_watch and len(changes.listings) >= MAX_GATHERED):
             await self.pause()
 
+    def apply_watched(self, changes: Changes) -> None:
+        """Apply the changes of a watch.
+
+        Raises
+        ------
+        StoreRestoredError
+            If they are those of a store that was restored meanwhile.
+        """
+        if self.is_restored(changes):
+            raise StoreRestoredError(
+                f"watched era {self.era}, found era {changes.era} at"
+                f" revision {changes.revision}"
+            )
+        for change in changes.listings:
+            self.directory.apply(change)
+
+    def replace_all(self, changes: Changes) -> None:
+        """Replace what is known by a full read."""
+        is_restored = self.is_restored(changes)
+        if is_restored:
+            self.record_restore(changes)
+        elif self.last_contact_at is None and changes.era > FIRST_ERA:
+            # It may have been restored just before this process started.
+            self.restored_at = self.clock.now()
+        self.directory.replace(changes.listings, changes.revision, is_restored)
+        # Before the operator's first write there is no configuration to
+        # watch, so everything is read again each time.
+        self.can_watch = (
+            changes.routes is not None or self.routes.current.version > 0
+        )
+
     async def watch(self) -> Changes:
         """Wait for the next changes."""
         self.watching_since = self.clock.now()
--- a/tests/steering/targets.feature
+++ b/tests/steering/targets.feature
@@ -78,6 +78,20 @@
     When 60 s pass without a change
     Then the store had at most 60 calls
 
+  # An answer of 250 entries counted as one that was cut.
+  Scenario: A balancer reads a large site rarely while there is no configuration
+    Given a store without a configuration and a balancer
+    And 300 hosts are listed
+    When 60 s pass without a change
+    Then the store had at most 120 calls
+
+  # The second and third answer followed after a pause each; one is 0.75 s here.
+  Scenario: More changes than an answer holds are known after one pause
+    Given a fleet of 3 hosts and 1 balancers
+    And 10 s pass
+    When 1200 hosts are listed at once
+    Then the balancer knows them after 0.8 s
+
   Scenario: A balancer is ready only once it has read routes
     Given a store without a configuration and a balancer
     When 1 s goes by
--- a/tests/steering/targets_steps.py
+++ b/tests/steering/targets_steps.py
@@ -12,6 +12,7 @@
 from chicorycart.steering.published import Listing
 from chicorycart.steering.published import ListingChange
 from tests.standins.endpoints import ENTRY
+from tests.standins.steered import DOMAIN
 from tests.standins.steered import HOST_PORT
 from tests.standins.steered import OTHER_SERVICE
 from tests.standins.steered import SERVICE
@@ -482,6 +483,41 @@
     assert 0 < calls <= count, calls
 
 
+@given("{count:d} hosts are listed")
+@when("{count:d} hosts are listed at once")
+def list_many(context, count):
+    async def list_all():
+        for number in range(count):
+            context.fleet.store.put(
+                Listing(
+                    f"m{number}",
+                    SERVICE,
+                    Address(f"10.9.{number // 250}.{number % 250}", 8165),
+                    DOMAIN,
+                    1,
+                    ListedState.READY,
+                    number,
+                    0.0,
+                )
+            )
+
+    context.count = count
+    context.run(list_all())
+
+
+@given("{seconds:d} s pass")
+def pass_time(context, seconds):
+    wait(context, seconds)
+
+
+@then("the balancer knows them after {seconds:g} s")
+def check_known(context, seconds):
+    wait(context, seconds)
+    (balancer,) = context.fleet.balancers.values()
+    known = [n for n in balancer.directory.members if n.startswith("m")]
+    assert len(known) == context.count, len(known)
+
+
 @given("a store without a configuration and a balancer")
 def make_bare(context):
     async def make():
