--- a/tests/steering/large_fleets.feature
+++ b/tests/steering/large_fleets.feature
@@ -70,7 +70,8 @@
     And the first packet of each flow to each of 20 hosts is lost
     Then every open flow is reset within 0.4 s of its next request
 
-  # Hosts that are down stopped each search at their group.
+  # Asking silent hosts again must not hide that the caller repeats its packet,
+  # which adds hosts to the search.
   Scenario: Hosts that went dark do not stop the search for the host of a flow
     Given a fleet of 20 hosts and 1 balancers
     And 24 open flows
