--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -53,9 +53,6 @@
         Known targets.
     held : HeldPackets
         Packets of the flows whose owners are searched for.
-    undecided : dict of bytes to Segment
-        Last packet of each flow that only unlisted targets may hold: it goes
-        to leaving ones, or a live one may be missing in the list.
     undecided : UndecidedFlows
         Flows that only unlisted targets may hold: leaving ones, or a live one
         that is missing in the list.
@@ -321,9 +318,8 @@
         A flow that its caller ends is left if not all targets were asked.
         While the store can't be reached, and shortly after, the live owner
         may be missing in the list of targets, and so may one that was listed
-        since the store's last answer. The flow is not reset then:
-        its last packet is kept, and the flow is decided on once the list is
-        complete.
+        since the store's last answer. The flow is not reset then: its last
+        packet is kept, and the flow is decided on once the list is complete.
         """
         follower = self.output.follower
         if segment.is_closing and self.candidates.has_remaining(state):
