Review case 5: rolling the agent of a leaving host resets the host's flows

Cause: once the entry of a draining host is gone, six unanswered probes of its agent (0.9 s) count as the end of the host, and its flows are reset, also those that it was confirmed to hold. An agent that is rolled may be away for longer.

Case: review/5, a script on loopback with 2 balancers, 3 hosts with agents and a store. A host drains, withdraws its entry and serves its open flows on; the agent is stopped and started after 1 s.

--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -158,6 +158,9 @@
         elif packet.data and packet.sequence == self.expected:
             self.expected += len(packet.data)
             self.answer = packet.data
+        elif packet.flags & FIN and packet.sequence == self.expected:
+            self.expected += 1
+            self.send(ACK | FIN, self.sequence, self.expected)
         self.changed.set()
         self.changed = Event()
 
--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -102,6 +102,10 @@
         self.register()
         return monotonic()
 
+    def withdraw(self) -> None:
+        """Remove the own entry; open flows are served on for a time."""
+        self.store.remove(f"servers/{self.name}")
+
     def datagram_received(self, data: bytes, address: tuple) -> None:
         """Take a packet from the agent."""
         packet = decode(data)
@@ -175,6 +179,9 @@
         state.answers[packet.sequence] = (state.sent, answer)
         self.send(flow, ACK, state.sent, state.expected, answer)
         state.sent += len(answer)
+        if self.state == "draining":
+            # A host that leaves closes each flow after its next answer.
+            self.send(flow, ACK | FIN, state.sent, state.expected)
 
     def send(self, flow, flags, sequence, acknowledged, data=b"") -> None:
         """Send a packet to the client, by the agent."""
--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -217,8 +217,8 @@
         for name in names:
             await self.processes[name].wait()
 
-    async def roll(self, name: str) -> None:
-        """Stop one daemon as planned and start it again."""
+    async def roll(self, name: str, pause: float = RESTART_SECONDS) -> None:
+        """Stop one daemon as planned and start it after a pause."""
         process = self.processes[name]
         self.record.write(f"SIGTERM {name}")
         process.send_signal(SIGTERM)
@@ -228,7 +228,7 @@
             process.send_signal(SIGKILL)
             await process.wait()
         self.record.write(f"{name} ended with {process.returncode}")
-        await sleep(RESTART_SECONDS)
+        await sleep(pause)
         await self.start_daemon(name)
 
     def make_client(self, port: int, balancer: str | None = None) -> Client:
