An entry that cannot be read no longer ends the following of the store

Cause: json.loads raises RecursionError for nested text. The adapter expected ValueError; the error left StoreFollower.run, which expects StoreError, and ended its task, which nobody awaits. Related: numbers without bounds (OverflowError in a division and, with slots, later at the placement of flows), ports and weights out of range and backends that are no list in a configuration, and error texts that repeated the value.

Change: one decoder whose only error is JsonError; whole numbers lie from 0 to 2^53 - 1; error texts are cut; an entry that lacks a field of the documented form names no host. An entry that is not used is logged once a reason (entry_unused) and counted in a gauge. A configuration with a fault is refused whole, the older one stays in force, as before.

Why this works: whatever the bytes of a value, decoding ends with a value of checked type and range or with StoreError, which the callers handle; a property test draws nested and huge values.

Two steps of targets.feature told removals by a reason that the adapter never gives ("removed"); they now give the one that it does. The bounds stay.

--- a/chicorycart/platform/items.py
+++ b/chicorycart/platform/items.py
@@ -1,10 +1,13 @@
 """Decodes the items of the platform's store."""
 
-from math import inf
+from ipaddress import IPv4Address
+from reprlib import repr as shorten
 from socket import inet_aton
 from typing import Any
 
+from chicorycart.address import Address
 from chicorycart.address import AddressError
+from chicorycart.address import MAX_PORT
 from chicorycart.address import parse_address
 from chicorycart.steering.errors import StoreError
 from chicorycart.steering.published import ListedState
@@ -19,10 +22,17 @@
 SERVER_PREFIX = "servers/"
 PORT_BYTES = 2
 
+MAX_WHOLE_NUMBER = 2**53 - 1
+"""Largest whole number that every reader of JSON keeps exact (RFC 8259,
+section 6). Larger ones do not fit into a float."""
+
 
 def decode_server(name: str, value: Any) -> Listing:
     """Decode the entry of a host.
 
+    Fields that are not used here are checked too: an entry that lacks one was
+    not written by a host.
+
     Raises
     ------
     StoreError
@@ -30,20 +40,39 @@
         used then.
     """
     try:
+        read_field(value, "version", str)
+        read_whole(value, "seq")
         return Listing(
             name,
             read_field(value, "service", str),
-            parse_address(read_field(value, "address", str)),
+            read_host_address(value),
             read_field(value, "zone", str),
-            max(1, read_field(value, "slots", int)),
+            max(1, read_whole(value, "slots")),
             ListedState(read_field(value, "state", str)),
-            read_optional(value, "born", int, 0),
-            read_optional(value, "coldRemainingMs", int, 0) / MILLISECONDS,
+            read_whole(value, "born", 0),
+            read_whole(value, "coldRemainingMs") / MILLISECONDS,
         )
     except (AddressError, ValueError) as error:
         raise StoreError(f"{SERVER_PREFIX}{name}: {error}") from error
 
 
+def read_host_address(value: Any) -> Address:
+    """Return the address of a host.
+
+    Raises
+    ------
+    AddressError, ValueError
+        If it is missing or cannot be that of one host.
+    """
+    address = parse_address(read_field(value, "address", str))
+    ip = IPv4Address(address.host)
+    if ip.is_multicast or ip.is_reserved or ip.is_unspecified:
+        raise AddressError(f"{address}: not the address of one host")
+    if address.port == 0:
+        raise AddressError(f"{address}: port 0 receives nothing")
+    return address
+
+
 def decode_config(value: Any) -> RouteTable:
     """Decode the configuration.
 
@@ -57,11 +86,11 @@
             decode_route(route) for route in read_field(value, "routes", list)
         ]
         limits = read_optional(value, "limits", dict, {})
-        idle = read_optional(limits, "idleTimeoutMs", int, None)
+        idle_ms = read_whole(limits, "idleTimeoutMs", 0)
         return RouteTable(
-            read_field(value, "version", int),
+            read_whole(value, "version"),
             routes,
-            None if idle is None else idle / MILLISECONDS,
+            idle_ms / MILLISECONDS if idle_ms else None,
         )
     except (OSError, ValueError) as error:
         raise StoreError(f"{CONFIG_KEY}: {error}") from error
@@ -79,25 +108,32 @@
         If a field is missing, of another type or invalid.
     """
     port = int(read_field(value, "prefix", str).strip("/"))
+    if not 0 <= port <= MAX_PORT:
+        raise ValueError(f"prefix: {port} is not a port")
     entry = inet_aton(read_field(value, "hostname", str)) + port.to_bytes(
         PORT_BYTES, "big"
     )
     level = decode_service_level(value)
-    backends = value.get("backends")
+    backends = read_optional(value, "backends", list, [])
     if not backends:
         service = read_field(value, "service", str)
         return Route(entry, ((service, 1.0),), level)
-    return Route(
-        entry,
-        tuple(
-            (
-                read_field(backend, "service", str),
-                float(read_field(backend, "weight", (int, float))),
-            )
-            for backend in backends
-        ),
-        level,
-    )
+    return Route(entry, tuple(map(decode_backend, backends)), level)
+
+
+def decode_backend(value: Any) -> tuple[str, float]:
+    """Decode the name and weight of one of several services of a route.
+
+    Raises
+    ------
+    ValueError
+        If a field is missing, of another type or invalid.
+    """
+    service = read_field(value, "service", str)
+    weight = read_field(value, "weight", (int, float))
+    if not 0 <= weight <= MAX_WHOLE_NUMBER:
+        raise ValueError(f"weight: {shorten(weight)} is out of range")
+    return service, float(weight)
 
 
 def decode_service_level(value: Any) -> ServiceLevel:
@@ -115,16 +151,43 @@
     Raises
     ------
     ValueError
-        If it is of another type, infinite, or not above 0.
+        If it is of another type, too large, or not above 0.
     """
     found = read_optional(value, name, (int, float), None)
     if found is None:
         return default
-    if not 0 < found < inf:
-        raise ValueError(f"{name}: {found!r} is not a finite time above 0")
+    if not 0 < found <= MAX_WHOLE_NUMBER:
+        raise ValueError(f"{name}: {shorten(found)} is out of range")
     return found / MILLISECONDS
 
 
+def read_whole(value: Any, name: str, default: int | None = None) -> int:
+    """Return a whole number from 0.
+
+    Parameters
+    ----------
+    value : Any
+        The object with the field.
+    name : str
+        Name of the field.
+    default : int, optional
+        Result for a field that is missing or null; without it the field is
+        required.
+
+    Raises
+    ------
+    ValueError
+        If it is missing, of another type, below 0 or too large.
+    """
+    if default is None:
+        found = read_field(value, name, int)
+    else:
+        found = read_optional(value, name, int, default)
+    if not 0 <= found <= MAX_WHOLE_NUMBER:
+        raise ValueError(f"{name}: {shorten(found)} is out of range")
+    return found
+
+
 def read_field(value: Any, name: str, expected_type: Any) -> Any:
     """Return a required field.
 
@@ -135,7 +198,10 @@
     """
     found = value.get(name) if isinstance(value, dict) else None
     if not isinstance(found, expected_type) or isinstance(found, bool):
-        raise ValueError(f"{name}: {found!r} is missing or has the wrong type")
+        # A plain repr of a nested value may exceed the interpreter's limit.
+        raise ValueError(
+            f"{name}: {shorten(found)} is missing or has the wrong type"
+        )
     return found
 
 
--- a/chicorycart/platform/store.py
+++ b/chicorycart/platform/store.py
@@ -3,11 +3,12 @@
 from base64 import b64decode
 from binascii import Error as Base64Error
 from collections.abc import Mapping
-from json import loads
 import re
 from typing import Any
 from urllib.parse import urlencode
 
+from chicorycart.json_text import decode_json
+from chicorycart.json_text import JsonError
 from chicorycart.links.errors import LinkError
 from chicorycart.links.http import HttpClient
 from chicorycart.platform.items import CONFIG_KEY
@@ -32,6 +33,9 @@
 NO_ERA = 0
 """Era of a store that names none."""
 
+MAX_REASON_CHARACTERS = 300
+"""Longest text on why a value is not used; a value can have a megabyte."""
+
 
 class Page:
     """One answer of the store.
@@ -145,9 +149,9 @@
                 f"{path}: expected status 200, found {answer.status}"
             )
         try:
-            content = loads(answer.body)
-        except ValueError as error:
-            raise StoreError(f"{path}: not JSON: {error}") from error
+            content = decode_json(answer.body)
+        except JsonError as error:
+            raise StoreError(f"{path}: {error}") from error
         if not isinstance(content, dict):
             raise StoreError(f"{path}: expected a JSON object")
         return Page(read_era(answer.headers), content)
@@ -212,7 +216,7 @@
                 routes = decode_config(read_value(item))
                 fault = ""
             except StoreError as error:
-                fault = str(error)
+                fault = describe(error)
     return Changes(page.era, page.revision, listings, routes, fault)
 
 
@@ -225,15 +229,26 @@
     try:
         listing = decode_server(name, read_value(item))
     except StoreError as error:
-        return ListingChange(name, revision, None, str(error))
+        return ListingChange(name, revision, None, describe(error))
     return ListingChange(name, revision, listing)
 
 
 def read_value(item: dict[str, Any]) -> Any:
-    """Decode the JSON value of an item."""
+    """Decode the JSON value of an item.
+
+    Raises
+    ------
+    StoreError
+        If it is not JSON in base64; other processes write values too.
+    """
     try:
-        return loads(b64decode(item.get("value", ""), validate=True))
+        return decode_json(b64decode(item.get("value", ""), validate=True))
     except (Base64Error, TypeError, ValueError) as error:
-        raise StoreError(
-            f"{item['key']}: value is not base64 of JSON: {error}"
-        ) from error
+        raise StoreError(f"{item['key']}: not base64: {error}") from error
+    except JsonError as error:
+        raise StoreError(f"{item['key']}: {error}") from error
+
+
+def describe(error: StoreError) -> str:
+    """Return the text of an error, cut where it is too long for a log."""
+    return str(error)[:MAX_REASON_CHARACTERS]
--- a/chicorycart/steering/balancer.py
+++ b/chicorycart/steering/balancer.py
@@ -169,10 +169,17 @@
                 "Targets known.",
                 lambda: len(self.directory.members),
             ),
+            (
+                "entries_unused",
+                "Entries of the store that name no target.",
+                lambda: len(self.directory.unused),
+            ),
             (
                 "log_lines_omitted",
                 "Log lines over the budget of their kind.",
-                lambda: events.total_omitted,
+                lambda: (
+                    events.total_omitted + self.directory.events.total_omitted
+                ),
             ),
         ):
             self.metrics.read(f"chicorycart_balancer_{name}", text, read)
--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -9,8 +9,10 @@
 from chicorycart.clock import Clock
 from chicorycart.configuration.model import Target
 from chicorycart.configuration.model import TargetState
+from chicorycart.operation.events import EventLog
 from chicorycart.steering.limits import LAPSE_SECONDS
 from chicorycart.steering.limits import MAX_REMOVED
+from chicorycart.steering.published import ENTRY_REMOVED
 from chicorycart.steering.published import ListedState
 from chicorycart.steering.published import Listing
 from chicorycart.steering.published import ListingChange
@@ -140,6 +142,24 @@
         return not self.was_heard or self.unanswered_probes > 0
 
 
+class UnusedEntry:
+    """An entry in the store that names no target.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store at which it was last written.
+    reason : str
+        Why it is not used.
+    """
+
+    __slots__ = ("revision", "reason")
+
+    def __init__(self, revision: int, reason: str):
+        self.revision = revision
+        self.reason = reason
+
+
 class Directory:
     """Table of targets by service, updated by the changes in the store.
 
@@ -176,6 +196,9 @@
         was not restored.
     vanished : dict of Address to VanishedTarget
         Targets that vanished and may be alive, by the address of their agent.
+    unused : dict of str to UnusedEntry
+        Entries in the store that name no target, by name. Other processes
+        write there too.
     changes : int
         Counts what changes the possible owners of flows or their order:
         entries, and targets that vanish, end, or prove to be alive after all.
@@ -193,7 +216,9 @@
         "by_agent_host",
         "flow_ttl_seconds",
         "vanished",
+        "unused",
         "changes",
+        "events",
     )
 
     def __init__(
@@ -214,7 +239,9 @@
         self.by_agent_host: dict[str, Member] = {}
         self.flow_ttl_seconds = flow_ttl_seconds
         self.vanished: dict[Address, VanishedTarget] = {}
+        self.unused: dict[str, UnusedEntry] = {}
         self.changes = 0
+        self.events = EventLog("directory", clock)
 
     def replace(
         self,
@@ -245,6 +272,8 @@
             self.apply(change)
         for name in [n for n in self.members if n not in present]:
             self.remove(name, revision, "missing from the store")
+        for name in [n for n in self.unused if n not in present]:
+            del self.unused[name]
 
     def apply(self, change: ListingChange) -> None:
         """Apply one changed entry, unless a later revision was applied."""
@@ -256,10 +285,28 @@
         )
         if change.revision < last:
             return
-        if change.listing is None:
-            self.remove(change.name, change.revision, change.reason)
-        else:
+        if change.listing is not None:
+            self.unused.pop(change.name, None)
             self.put(change.listing, change.revision)
+            return
+        self.remove(change.name, change.revision, change.reason)
+        if change.reason == ENTRY_REMOVED:
+            self.unused.pop(change.name, None)
+        else:
+            self.set_aside(change)
+
+    def set_aside(self, change: ListingChange) -> None:
+        """Keep in mind that an entry is not used, and log a new reason."""
+        before = self.unused.get(change.name)
+        self.unused[change.name] = UnusedEntry(change.revision, change.reason)
+        if before is None or before.reason != change.reason:
+            self.events.record(
+                "entry_unused",
+                "entry={!r} reason={!r} revision={}",
+                change.name,
+                change.reason,
+                change.revision,
+            )
 
     def is_outdated(self, change: ListingChange) -> bool:
         """Tell whether an entry is of an earlier start than the known one."""
--- a/tests/platform_adapter/store.feature
+++ b/tests/platform_adapter/store.feature
@@ -60,15 +60,83 @@
       | with a state that is not known     |
       | with slots of text                 |
       | with an address that is none       |
+      | nested 900 deep                    |
+      | nested 2,000 deep                  |
+      | nested 100,000 deep                |
+      | with slots nested 900 deep         |
+      | with slots of 400 digits           |
+      | with slots below 0                 |
+      | with a warm-up time of 400 digits  |
+      | with a start of 400 digits         |
+      | with a start that is a fraction    |
+      | with a start of text               |
+      | with a count of 400 digits         |
+      | without a version                  |
+      | without a warm-up time             |
+      | with a port of 0                   |
+      | with a port of 65,536              |
+      | with a port of 5,000 digits        |
+      | with a port below 0                |
+      | with an address of many hosts      |
+      | with an address of no host         |
+      | with a state of half a character   |
+      | with a state of 1 MB               |
+
+  # RecursionError ended the task that follows the store, and nobody noticed.
+  Scenario Outline: A balancer goes on following the store after an entry that is <entry>
+    Given a balancer that follows the store
+    When an entry is <entry>
+    And the configuration changes to version 8
+    Then the balancer has version 8 and 3 hosts within 2 s
+    And its log says why the entry is not used
+    When the balancer starts anew
+    Then the balancer has version 8 and 3 hosts within 2 s
+
+    Examples:
+      | entry                             |
+      | nested 2,000 deep                 |
+      | with a warm-up time of 400 digits |
+      | with slots of 400 digits          |
+
+  Scenario: An entry that cannot be read is logged once, however often it is written
+    Given a balancer that follows the store
+    When an entry is nested 2,000 deep
+    And it is written again 5 times
+    Then its log names the entry once
+    And its gauge counts 1 unused entry
+    When it is removed
+    Then its gauge counts 0 unused entries
 
   Scenario: Arbitrary values are decoded or rejected with a reason
     Then arbitrary JSON values give a host, a configuration or a store error
 
-  Scenario: An invalid configuration is reported and the hosts are still read
-    When the configuration has a route without a port
+  Scenario: Arbitrary bytes are decoded or rejected with a short reason
+    Then arbitrary bytes of an entry give a host or a short reason
+
+  # OverflowError and TypeError ended the task that follows the store.
+  Scenario Outline: A configuration <fault> is reported and the hosts are still read
+    When the configuration is one <fault>
     And the client reads everything
     Then 3 hosts are there and the fault names the configuration
 
+    Examples:
+      | fault                            |
+      | with a route without a port      |
+      | with a port out of range         |
+      | with a port below 0              |
+      | with backends that are no list   |
+      | with a weight of 400 digits      |
+      | with a weight that is no number  |
+      | with a weight below 0            |
+      | with a time-out of 400 digits    |
+      | with an idle time of 400 digits  |
+      | with a version of 400 digits     |
+      | nested 2,000 deep                |
+
+  Scenario: A whole answer that is nested too deeply is an error of the store
+    When the store answers with 100,000 opening brackets
+    Then the client reports that the store failed
+
   Scenario: The client reads past changes of entries
     Given a stand-in of the store with 3 hosts and a configuration
     When a host drains, another is removed and the client reads past changes
--- a/tests/platform_adapter/store_steps.py
+++ b/tests/platform_adapter/store_steps.py
@@ -6,19 +6,26 @@
 from asyncio import timeout
 from base64 import b64encode
 from contextlib import suppress
+from json import dumps
+from math import nan
 from random import Random
+from sys import getrecursionlimit
+from sys import setrecursionlimit
 
 from behave import given
 from behave import then
 from behave import when
 from hypothesis import given as for_all
 from hypothesis import strategies
+from logbook import TestHandler
 
 from chicorycart.clock import LoopClock
 from chicorycart.configuration.backoff import Backoff
 from chicorycart.links.http import HttpClient
 from chicorycart.platform.items import decode_config
 from chicorycart.platform.items import decode_server
+from chicorycart.platform.store import decode_listing
+from chicorycart.platform.store import MAX_REASON_CHARACTERS
 from chicorycart.platform.store import MetadataStore
 from chicorycart.steering.directory import Directory
 from chicorycart.steering.errors import HistoryLostError
@@ -38,6 +45,8 @@
 GONE = 410
 LINK_PORT = 7720
 FLOW_TTL_SECONDS = 60.0
+POLL_SECONDS = 0.02
+HUGE = 10**399
 
 
 @given("a stand-in of the store with 3 hosts and a configuration")
@@ -120,16 +129,21 @@
     run_call(context, lambda: context.client.read_all(0.5))
 
 
-async def count_calls(client, seconds):
-    """Follow a store for some time; return the number of calls."""
+def make_follower(client):
+    """Return a follower of a store with an empty directory."""
     clock = LoopClock()
-    follower = StoreFollower(
+    return StoreFollower(
         client,
         Directory(clock, LINK_PORT, FLOW_TTL_SECONDS),
         RoutesInForce(),
         Backoff(Random(1), RETRY_INITIAL_SECONDS, RETRY_MAX_SECONDS),
         clock,
     )
+
+
+async def count_calls(client, seconds):
+    """Follow a store for some time; return the number of calls."""
+    follower = make_follower(client)
     with suppress(TimeoutError):
         async with timeout(seconds):
             await follower.run()
@@ -178,25 +192,206 @@
     assert context.seconds < seconds, context.seconds
 
 
+def nest(depth):
+    """Return opening brackets as the store has them."""
+    return b64encode(b"[" * depth + b"]" * depth).decode()
+
+
+def nest_list(depth):
+    """Return a list nested in others."""
+    value = []
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
+ODD_VALUES = {
+    "not base64": "%%%",
+    "not JSON": b64encode(b"{").decode(),
+    "nested 900 deep": nest(900),
+    "nested 2,000 deep": nest(2_000),
+    "nested 100,000 deep": nest(100_000),
+    "a list": encode([]),
+}
+ODD_FIELDS = {
+    "without an address": {"address": None},
+    "with a state that is not known": {"state": "odd"},
+    "with a state of half a character": {"state": "\ud800"},
+    "with a state of 1 MB": {"state": "x" * 1_000_000},
+    "with slots of text": {"slots": "2"},
+    "with slots nested 900 deep": {"slots": nest_list(900)},
+    "with slots of 400 digits": {"slots": HUGE},
+    "with slots below 0": {"slots": -1},
+    "with a warm-up time of 400 digits": {"coldRemainingMs": HUGE},
+    "with a start of 400 digits": {"born": HUGE},
+    "with a start that is a fraction": {"born": 1.5},
+    "with a start of text": {"born": "1"},
+    "with a count of 400 digits": {"seq": HUGE},
+    "without a version": {"version": None},
+    "without a warm-up time": {"coldRemainingMs": None},
+    "with an address that is none": {"address": "x:y"},
+    "with a port of 0": {"address": "10.2.0.9:0"},
+    "with a port of 65,536": {"address": "10.2.0.9:65536"},
+    "with a port of 5,000 digits": {"address": "10.2.0.9:" + "9" * 5_000},
+    "with a port below 0": {"address": "10.2.0.9:-1"},
+    "with an address of many hosts": {"address": "224.0.0.1:8165"},
+    "with an address of no host": {"address": "0.0.0.0:8165"},
+}
+
+
 @when("an entry is {entry}")
 def put_invalid(context, entry):
-    values = {
-        "not base64": "%%%",
-        "not JSON": b64encode(b"{").decode(),
-        "a list": encode([]),
-        "without an address": encode(make_entry(9, address=None)),
-        "with a state that is not known": encode(make_entry(9, state="odd")),
-        "with slots of text": encode(make_entry(9, slots="2")),
-        "with an address that is none": encode(make_entry(9, address="x:y")),
-    }
-    context.store.put("servers/odd", values[entry])
+    value = ODD_VALUES.get(entry)
+    if value is None:
+        value = encode(make_entry(9, **ODD_FIELDS[entry]))
+    context.odd_value = value
+    context.store.put("servers/odd", value)
 
 
 @then("the change of the invalid entry has a reason and no host")
 def check_invalid(context):
     (change,) = [c for c in context.changes.listings if c.name == "odd"]
     assert change.listing is None
-    assert change.reason
+    assert 0 < len(change.reason) <= MAX_REASON_CHARACTERS
+
+
+@then("arbitrary bytes of an entry give a host or a short reason")
+def check_arbitrary_bytes(context):
+    numbers = strategies.sampled_from(
+        [0, -1, 1.5, 1e300, HUGE, -HUGE, 2**53, True, None, "1", "\ud800"]
+    )
+    odd_fields = strategies.dictionaries(
+        strategies.sampled_from(sorted(make_entry(1))),
+        numbers
+        | strategies.integers(0, 1_500).map(nest_list)
+        | strategies.text(max_size=8),
+        max_size=3,
+    )
+    values = (
+        strategies.binary(max_size=64)
+        | strategies.integers(0, 3_000).map(lambda depth: b"[" * depth)
+        | odd_fields.map(lambda fields: dump_nested(make_entry(1, **fields)))
+    )
+
+    @for_all(values)
+    def check(value):
+        item = {
+            "key": "servers/odd",
+            "value": b64encode(value).decode(),
+            "revision": 1,
+        }
+        change = decode_listing(item)
+        assert (change.listing is None) == bool(change.reason)
+        assert len(change.reason) <= MAX_REASON_CHARACTERS
+
+    check()
+
+
+def dump_nested(value):
+    """Return JSON of a value that may be nested more deeply than allowed."""
+    limit = getrecursionlimit()
+    setrecursionlimit(10_000)
+    try:
+        return dumps(value).encode()
+    finally:
+        setrecursionlimit(limit)
+
+
+@given("a balancer that follows the store")
+def follow_store(context):
+    context.log = TestHandler()
+    context.log.push_application()
+    context.cleanups.callback(context.log.pop_application)
+    start_follower(context)
+
+
+@when("the balancer starts anew")
+def restart_follower(context):
+    start_follower(context)
+
+
+def start_follower(context):
+    """Follow the store with an empty directory."""
+    context.follower = make_follower(context.client)
+    context.following = context.run(start_task(context.follower.run()))
+
+
+async def start_task(work):
+    """Run work beside the steps."""
+    return create_task(work)
+
+
+@when("the configuration changes to version {version:d}")
+def change_configuration(context, version):
+    config = {**make_config(), "version": version}
+    context.store.put("op/config", encode(config))
+
+
+@then("the balancer has version {version:d} and {count:d} hosts within 2 s")
+def check_followed(context, version, count):
+    follower = context.follower
+
+    def is_up_to_date():
+        return (
+            follower.routes.current.version == version
+            and len(follower.directory.members) == count
+        )
+
+    wait_for(context, is_up_to_date)
+    assert is_up_to_date(), context.following
+
+
+def wait_for(context, holds, seconds=2.0):
+    """Wait until something holds, for a time at most."""
+    for _ in range(round(seconds / POLL_SECONDS)):
+        if holds():
+            return
+        context.run(sleep(POLL_SECONDS))
+
+
+def list_refusals(context):
+    """Return the log lines on the odd entry."""
+    return [
+        record.message
+        for record in context.log.records
+        if "event=entry_unused entry='odd'" in record.message
+    ]
+
+
+@then("its log says why the entry is not used")
+def check_refusal(context):
+    (line,) = list_refusals(context)
+    assert "reason='servers/odd: " in line
+
+
+@when("it is written again {count:d} times")
+def write_again(context, count):
+    for _ in range(count):
+        context.store.put("servers/odd", context.odd_value)
+        context.run(sleep(0.2))
+
+
+@then("its log names the entry once")
+def check_logged_once(context):
+    assert len(list_refusals(context)) == 1
+
+
+@then("its gauge counts {count:d} unused {entries}")
+def check_gauge(context, count, entries):
+    unused = context.follower.directory.unused
+    wait_for(context, lambda: len(unused) == count)
+    assert len(unused) == count
+
+
+@when("it is removed")
+def remove_odd(context):
+    context.store.remove("servers/odd")
+
+
+@when("the store answers with 100,000 opening brackets")
+def answer_nested(context):
+    context.store.body = "[" * 100_000
+    run_call(context, lambda: context.client.read_all(0.5))
 
 
 @then("arbitrary JSON values give a host, a configuration or a store error")
@@ -231,10 +426,33 @@
     check()
 
 
-@when("the configuration has a route without a port")
-def break_config(context):
-    config = make_config()
-    config["routes"][0]["prefix"] = "//"
+ODD_ROUTES = {
+    "with a route without a port": {"prefix": "//"},
+    "with a port out of range": {"prefix": "/65536/"},
+    "with a port below 0": {"prefix": "/-1/"},
+    "with backends that are no list": {"backends": 5},
+    "with a weight of 400 digits": {"weight": HUGE},
+    "with a weight that is no number": {"weight": nan},
+    "with a weight below 0": {"weight": -1},
+    "with a time-out of 400 digits": {"timeoutMs": HUGE},
+}
+ODD_CONFIGURATIONS = {
+    "with an idle time of 400 digits": {"limits": {"idleTimeoutMs": HUGE}},
+    "with a version of 400 digits": {"version": HUGE},
+}
+
+
+@when("the configuration is one {fault}")
+def break_config(context, fault):
+    if fault in ODD_VALUES:
+        context.store.put("op/config", ODD_VALUES[fault])
+        return
+    config = {**make_config(), **ODD_CONFIGURATIONS.get(fault, {})}
+    changes = dict(ODD_ROUTES.get(fault, {}))
+    if "weight" in changes:
+        backend = {"service": "dispatch", "weight": changes.pop("weight")}
+        changes["backends"] = [backend]
+    config["routes"][0].update(changes)
     context.store.put("op/config", encode(config))
 
 
--- a/tests/standins/kv.py
+++ b/tests/standins/kv.py
@@ -61,6 +61,8 @@
         Value of the header that names the era; None to leave it out.
     restored_after : int
         Answers after which the store is restored from a copy.
+    body : str or None
+        Text of every answer, in place of what was asked for.
     page, max_events : int
         Most items of a page, and most events of a watch's answer.
     """
@@ -73,6 +75,7 @@
         self.page = 500
         self.max_events = 500
         self.status = OK
+        self.body = None
         self.watch_status = OK
         self.answering = Event()
         self.answering.set()
@@ -173,6 +176,9 @@
         era = store.era
         if era is not None:
             self.set_header("Store-Era", era)
+        if store.body is not None:
+            self.finish(store.body)
+            return
         prefix = self.get_query_argument("prefix")
         after = self.get_query_argument("after", "")
         if call == "range":
--- a/tests/steering/targets_steps.py
+++ b/tests/steering/targets_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 
 from chicorycart.address import Address
+from chicorycart.steering.published import ENTRY_REMOVED
 from chicorycart.steering.published import ListedState
 from chicorycart.steering.published import Listing
 from chicorycart.steering.published import ListingChange
@@ -559,7 +560,7 @@
     first = context.fleet.store.revision + 1
     for revision in range(first, first + count):
         directory.apply(
-            ListingChange(f"i-{revision}", revision, None, "removed")
+            ListingChange(f"i-{revision}", revision, None, ENTRY_REMOVED)
         )
 
 
@@ -583,7 +584,7 @@
                 name, SERVICE, address, "riga-a", 2, state, 9, 0.0
             )
             directory.apply(ListingChange(name, revision, listing))
-            directory.apply(ListingChange(name, revision, None, "removed"))
+            directory.apply(ListingChange(name, revision, None, ENTRY_REMOVED))
 
     context.run(drain_all())
 
