An entry of a service that is not configured no longer hides a host

Cause: each entry that could be decoded counted as a host, and an entry at the address of a target displaced it if it was written later, unless both named their starts. The service was not looked at. The displaced host's entry was still listed, so no balancer asked it for its flows.

Ruled out: comparing the port as well. A successor may use another port of the machine, and both would be reached through one agent.

Change: an entry names a target once a configuration has named its service; until then it is kept aside and logged. The configuration of an answer comes into force before its entries. The history goes by the same rule, as there too the later start of a foreign entry displaced the host. An entry without a start names no host (it is a documented field), which leaves one order of two entries of an address: start, then revision.

--- a/chicorycart/platform/items.py
+++ b/chicorycart/platform/items.py
@@ -24,7 +24,7 @@
 
 MAX_WHOLE_NUMBER = 2**53 - 1
 """Largest whole number that every reader of JSON keeps exact (RFC 8259,
-section 6). Larger ones do not fit into a float."""
+section 6)."""
 
 
 def decode_server(name: str, value: Any) -> Listing:
@@ -49,7 +49,7 @@
             read_field(value, "zone", str),
             max(1, read_whole(value, "slots")),
             ListedState(read_field(value, "state", str)),
-            read_whole(value, "born", 0),
+            read_whole(value, "born"),
             read_whole(value, "coldRemainingMs") / MILLISECONDS,
         )
     except (AddressError, ValueError) as error:
@@ -91,6 +91,10 @@
             read_whole(value, "version"),
             routes,
             idle_ms / MILLISECONDS if idle_ms else None,
+            [
+                read_field(service, "name", str)
+                for service in read_optional(value, "services", list, [])
+            ],
         )
     except (OSError, ValueError) as error:
         raise StoreError(f"{CONFIG_KEY}: {error}") from error
--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -1,7 +1,9 @@
 """Table of each service's targets, kept up to date from the store."""
 
 from collections import OrderedDict
+from collections.abc import Collection
 from copy import copy
+from reprlib import repr as shorten
 
 from logbook import Logger
 
@@ -151,13 +153,17 @@
         Revision of the store at which it was last written.
     reason : str
         Why it is not used.
+    listing : Listing or None
+        The entry, if it can be read. It names a target once its service is
+        configured.
     """
 
-    __slots__ = ("revision", "reason")
+    __slots__ = ("revision", "reason", "listing")
 
-    def __init__(self, revision: int, reason: str):
+    def __init__(self, revision: int, reason: str, listing: Listing | None):
         self.revision = revision
         self.reason = reason
+        self.listing = listing
 
 
 class Directory:
@@ -169,6 +175,9 @@
     host of a draining target may still serve its flows after its entry was
     removed, so the target counts as leaving until its agent is silent.
 
+    Other processes write entries too. One of a service that is not configured
+    names no target, whatever address it has.
+
     Parameters
     ----------
     clock : Clock
@@ -197,8 +206,9 @@
     vanished : dict of Address to VanishedTarget
         Targets that vanished and may be alive, by the address of their agent.
     unused : dict of str to UnusedEntry
-        Entries in the store that name no target, by name. Other processes
-        write there too.
+        Entries in the store that name no target, by name.
+    configured_services : set of str
+        Names of the services that a configuration has named so far.
     changes : int
         Counts what changes the possible owners of flows or their order:
         entries, and targets that vanish, end, or prove to be alive after all.
@@ -217,6 +227,7 @@
         "flow_ttl_seconds",
         "vanished",
         "unused",
+        "configured_services",
         "changes",
         "events",
     )
@@ -240,6 +251,7 @@
         self.flow_ttl_seconds = flow_ttl_seconds
         self.vanished: dict[Address, VanishedTarget] = {}
         self.unused: dict[str, UnusedEntry] = {}
+        self.configured_services: set[str] = set()
         self.changes = 0
         self.events = EventLog("directory", clock)
 
@@ -264,6 +276,7 @@
         self.removed_revisions.clear()
         if is_restored:
             self.copied_revision = revision
+            self.unused.clear()
             for member in self.members.values():
                 member.revision = 0
             changes = [c for c in changes if not self.is_outdated(c)]
@@ -285,29 +298,54 @@
         )
         if change.revision < last:
             return
-        if change.listing is not None:
-            self.unused.pop(change.name, None)
+        reason = self.find_fault(change)
+        if not reason:
             self.put(change.listing, change.revision)
             return
-        self.remove(change.name, change.revision, change.reason)
-        if change.reason == ENTRY_REMOVED:
+        self.remove(change.name, change.revision, reason)
+        if reason == ENTRY_REMOVED:
             self.unused.pop(change.name, None)
         else:
-            self.set_aside(change)
+            self.set_aside(
+                change.name, change.revision, reason, change.listing
+            )
 
-    def set_aside(self, change: ListingChange) -> None:
-        """Keep in mind that an entry is not used, and log a new reason."""
-        before = self.unused.get(change.name)
-        self.unused[change.name] = UnusedEntry(change.revision, change.reason)
-        if before is None or before.reason != change.reason:
+    def find_fault(self, change: ListingChange) -> str:
+        """Return why a changed entry names no target; empty if it does."""
+        if change.listing is None:
+            return change.reason
+        service = change.listing.service
+        if service in self.configured_services:
+            return ""
+        return f"service {shorten(service)} is not configured"
+
+    def set_aside(
+        self, name: str, revision: int, reason: str, listing: Listing | None
+    ) -> None:
+        """Keep an entry that names no target, and log a new reason."""
+        before = self.unused.get(name)
+        self.unused[name] = UnusedEntry(revision, reason, listing)
+        if before is None or before.reason != reason:
             self.events.record(
                 "entry_unused",
                 "entry={!r} reason={!r} revision={}",
-                change.name,
-                change.reason,
-                change.revision,
+                name,
+                reason,
+                revision,
             )
 
+    def add_services(self, services: Collection[str]) -> None:
+        """Use the entries of services that a configuration names.
+
+        Those of earlier configurations stay, since open flows may go on.
+        """
+        if self.configured_services.issuperset(services):
+            return
+        self.configured_services.update(services)
+        for name, entry in list(self.unused.items()):
+            if entry.listing is not None:
+                self.apply(ListingChange(name, entry.revision, entry.listing))
+
     def is_outdated(self, change: ListingChange) -> bool:
         """Tell whether an entry is of an earlier start than the known one."""
         if change.listing is None:
@@ -320,6 +358,7 @@
 
     def put(self, listing: Listing, revision: int) -> None:
         """Add a target, or replace it by its changed entry."""
+        self.unused.pop(listing.name, None)
         listing = self.correct_state(listing, revision)
         other = self.by_agent_host.get(listing.address.host)
         if other is not None and other.listing.name != listing.name:
@@ -615,9 +654,8 @@
     The entry of a host that died stays in the store until it expires, beside
     the entry of the host that was started at the same address.
     """
-    if listing.incarnation and other.listing.incarnation:
-        return listing.incarnation < other.listing.incarnation
-    return revision < other.revision
+    known = other.listing.incarnation, other.revision
+    return (listing.incarnation, revision) < known
 
 
 def has_changed(known: Member, member: Member) -> bool:
--- a/chicorycart/steering/follow.py
+++ b/chicorycart/steering/follow.py
@@ -196,7 +196,6 @@
             changes = await self.store.read_all(self.answer_seconds)
             self.replace_all(changes)
         self.record_contact()
-        self.activate_routes(changes)
         self.era = changes.era
         self.revision = changes.revision
         if self.routes.current.version > 0:
@@ -217,6 +216,7 @@
                 f"watched era {self.era}, found era {changes.era} at"
                 f" revision {changes.revision}"
             )
+        self.activate_routes(changes)
         for change in changes.listings:
             self.directory.apply(change)
 
@@ -228,6 +228,7 @@
         elif self.last_contact_at is None and changes.era > FIRST_ERA:
             # It may have been restored just before this process started.
             self.restored_at = self.clock.now()
+        self.activate_routes(changes)
         self.directory.replace(changes.listings, changes.revision, is_restored)
         # Before the operator's first write there is no configuration to
         # watch, so everything is read again each time.
@@ -277,7 +278,11 @@
         )
 
     def activate_routes(self, changes: Changes) -> None:
-        """Put the routes that were read in force, or log why they are not."""
+        """Put the routes that were read in force, or log why they are not.
+
+        The services that they name come before the entries that were read
+        with them.
+        """
         if changes.fault:
             LOGGER.error(
                 "event=refused version_in_force={} reason={!r}",
@@ -286,6 +291,7 @@
             )
         if changes.routes is not None:
             self.routes.activate(changes.routes)
+            self.directory.add_services(self.routes.current.services)
 
     @property
     def seconds_since_contact(self) -> float:
--- a/chicorycart/steering/history.py
+++ b/chicorycart/steering/history.py
@@ -279,7 +279,7 @@
                 revision,
                 str(error),
             )
-        self.changes = history.changes
+        self.changes = [self.screen(change) for change in history.changes]
         self.is_from_start = history.after == 0
         if reachable_since != follower.reachable_since:
             # The store was unreachable or restored meanwhile, so the result
@@ -304,6 +304,16 @@
             follower.is_proven_complete,
         )
 
+    def screen(self, change: ListingChange) -> ListingChange:
+        """Return a change, without its entry if that names no target."""
+        reason = self.directory.find_fault(change)
+        return ListingChange(
+            change.name,
+            change.revision,
+            None if reason else change.listing,
+            reason,
+        )
+
     def evaluate(self) -> VanishedHosts:
         """Update the follower's `is_proven_complete`.
 
--- a/chicorycart/steering/published.py
+++ b/chicorycart/steering/published.py
@@ -35,7 +35,7 @@
         Whether it accepts new work.
     incarnation : int
         Start time of the host in milliseconds since 1970, higher after each
-        restart under the same name; 0 if it is not published.
+        restart under the same name.
     cold_seconds : float
         Time for which the host will still be warming up after its start.
     """
--- a/chicorycart/steering/routes.py
+++ b/chicorycart/steering/routes.py
@@ -1,5 +1,7 @@
 """Routes from entries to services."""
 
+from collections.abc import Iterable
+
 from xxhash import xxh64_intdigest
 
 from chicorycart.steering.limits import DEFAULT_AIM_SECONDS
@@ -90,19 +92,24 @@
     idle_seconds : float or None
         Idle time after which a flow may be forgotten; None if the
         configuration sets none.
+    services : frozenset of str
+        Names of the configured services, also of those without a route.
     """
 
-    __slots__ = ("version", "by_entry", "idle_seconds")
+    __slots__ = ("version", "by_entry", "idle_seconds", "services")
 
     def __init__(
         self,
         version: int,
         routes: list[Route],
         idle_seconds: float | None = None,
+        services: Iterable[str] = (),
     ):
         self.version = version
         self.by_entry = {route.entry: route for route in routes}
         self.idle_seconds = idle_seconds
+        routed = (name for route in routes for name, _ in route.services)
+        self.services = frozenset((*services, *routed))
 
 
 NO_ROUTES = RouteTable(0, [])
--- a/tests/platform_adapter/store.feature
+++ b/tests/platform_adapter/store.feature
@@ -67,6 +67,7 @@
       | with slots of 400 digits           |
       | with slots below 0                 |
       | with a warm-up time of 400 digits  |
+      | without a start                    |
       | with a start of 400 digits         |
       | with a start that is a fraction    |
       | with a start of text               |
@@ -113,6 +114,11 @@
   Scenario: Arbitrary bytes are decoded or rejected with a short reason
     Then arbitrary bytes of an entry give a host or a short reason
 
+  Scenario: A configuration also names the services that have no route
+    When the configuration has a service "maps" without a route
+    And the client reads everything
+    Then the services "dispatch" and "maps" are configured
+
   # OverflowError and TypeError ended the task that follows the store.
   Scenario Outline: A configuration <fault> is reported and the hosts are still read
     When the configuration is one <fault>
@@ -125,6 +131,8 @@
       | with a port out of range         |
       | with a port below 0              |
       | with backends that are no list   |
+      | with a service without a name    |
+      | with services that are no list   |
       | with a weight of 400 digits      |
       | with a weight that is no number  |
       | with a weight below 0            |
--- a/tests/platform_adapter/store_steps.py
+++ b/tests/platform_adapter/store_steps.py
@@ -223,6 +223,7 @@
     "with slots of 400 digits": {"slots": HUGE},
     "with slots below 0": {"slots": -1},
     "with a warm-up time of 400 digits": {"coldRemainingMs": HUGE},
+    "without a start": {"born": None},
     "with a start of 400 digits": {"born": HUGE},
     "with a start that is a fraction": {"born": 1.5},
     "with a start of text": {"born": "1"},
@@ -437,11 +438,25 @@
     "with a time-out of 400 digits": {"timeoutMs": HUGE},
 }
 ODD_CONFIGURATIONS = {
+    "with a service without a name": {"services": [{}]},
+    "with services that are no list": {"services": 5},
     "with an idle time of 400 digits": {"limits": {"idleTimeoutMs": HUGE}},
     "with a version of 400 digits": {"version": HUGE},
 }
 
 
+@when('the configuration has a service "{name}" without a route')
+def add_service(context, name):
+    config = make_config()
+    config["services"].append({"name": name, "healthPath": "/health"})
+    context.store.put("op/config", encode(config))
+
+
+@then('the services "{first}" and "{second}" are configured')
+def check_services(context, first, second):
+    assert context.changes.routes.services == {first, second}
+
+
 @when("the configuration is one {fault}")
 def break_config(context, fault):
     if fault in ODD_VALUES:
--- a/tests/steering/targets.feature
+++ b/tests/steering/targets.feature
@@ -38,6 +38,38 @@
       | i-old   | 5    | i-young | 9     |
       | i-young | 9    | i-old   | 5     |
 
+  # The host was dropped, and its flows were reset by balancers that started.
+  Scenario Outline: An entry of another program on a host's machine hides no host: <entry>
+    Given a fleet of 3 hosts and 2 balancers
+    And 12 open flows
+    When an entry <entry> is written for the machine of "h1"
+    And every balancer is replaced by one that knows no flows
+    Then every open flow gets an answer from its host
+    And no caller was reset
+    And host "h1" is given new flows
+    And no host counts as one that took over an address
+    And the entry is counted as unused
+
+    Examples:
+      | entry                                     |
+      | of no configured service                  |
+      | of no configured service, started earlier |
+
+  # Of two vanished entries of one machine, only the later start was asked.
+  Scenario: Flows of a host that vanished are found although another program on its machine vanished too
+    Given a fleet of 3 hosts and 1 balancers
+    And 12 open flows
+    When an entry of no configured service is written for the machine of "h1"
+    And that entry and the one of "h1" are removed
+    And every balancer is replaced by one that knows no flows
+    Then every open flow gets an answer from its host
+    And no caller was reset
+
+  Scenario: A host whose service is configured after its entry was read gets flows then
+    Given a fleet of 3 hosts and 1 balancers
+    When a host of the service "maps" is listed, and configured 1 s later
+    Then its service is served within 1 s
+
   Scenario: A host that took over the address of another service gets none of its packets
     Addresses are reused, and the balancer may learn of it late.
 
--- a/tests/steering/targets_steps.py
+++ b/tests/steering/targets_steps.py
@@ -15,6 +15,7 @@
 from tests.standins.endpoints import ENTRY
 from tests.standins.steered import DOMAIN
 from tests.standins.steered import HOST_PORT
+from tests.standins.steered import OTHER_ENTRY
 from tests.standins.steered import OTHER_SERVICE
 from tests.standins.steered import SERVICE
 from tests.standins.steered import SteeredFleet
@@ -22,6 +23,13 @@
 from tests.steering.flows_steps import ask_open_flows
 
 BALANCER = "b1"
+NEW_CALLERS = 30
+PROGRAM = "exporter"
+PROGRAM_PORT = 9300
+PROGRAM_STARTS = {
+    "of no configured service": 9,
+    "of no configured service, started earlier": 0,
+}
 
 
 def wait(context, seconds):
@@ -136,14 +144,95 @@
     '"{young}" is the target there, also after the entry of "{old}" is removed'
 )
 def check_young(context, young, old):
-    assert (
-        get_directory(context).find_by_host("10.2.0.77").target.name == young
-    )
+    assert find_at_address(context) == young
     context.fleet.store.remove(old)
     wait(context, 4.0)
-    assert (
-        get_directory(context).find_by_host("10.2.0.77").target.name == young
+    assert find_at_address(context) == young
+
+
+@when('an entry {entry} is written for the machine of "{name}"')
+def list_program(context, entry, name):
+    context.opened = len(context.fleet.hosts[name].opened)
+    context.fleet.store.put(
+        Listing(
+            PROGRAM,
+            PROGRAM,
+            Address(context.fleet.hosts[name].address.host, PROGRAM_PORT),
+            DOMAIN,
+            1,
+            ListedState.READY,
+            PROGRAM_STARTS[entry],
+            0.0,
+        )
     )
+    wait(context, 2.0)
+
+
+@when('that entry and the one of "{name}" are removed')
+def remove_both(context, name):
+    for each in (name, PROGRAM):
+        context.fleet.store.remove(each)
+
+
+@when("every balancer is replaced by one that knows no flows")
+def replace_all_balancers(context):
+    async def replace():
+        for name in list(context.fleet.balancers):
+            context.fleet.kill_balancer(name)
+            await start_balancer(context.fleet, name)
+
+    context.run(replace())
+
+
+@then('host "{name}" is given new flows')
+def check_new(context, name):
+    ask_in_turn(context, NEW_CALLERS)
+    assert len(context.fleet.hosts[name].opened) > context.opened
+
+
+@then("no host counts as one that took over an address")
+def check_no_former(context):
+    for balancer in context.fleet.balancers.values():
+        members = balancer.directory.members.values()
+        assert members
+        assert not any(member.took_over_address for member in members)
+
+
+@then("the entry is counted as unused")
+def check_unused(context):
+    for balancer in context.fleet.balancers.values():
+        assert list(balancer.directory.unused) == [PROGRAM]
+
+
+@when(
+    'a host of the service "{service}" is listed, and configured'
+    " {seconds:d} s later"
+)
+def configure_later(context, service, seconds):
+    fleet = context.fleet
+
+    async def list_host():
+        await fleet.settle()
+        fleet.add_host("h9", service)
+        await sleep(seconds)
+
+    context.run(list_host())
+    assert "h9" not in get_directory(context).members
+    assert "h9" in get_directory(context).unused
+    fleet.configure(2, {ENTRY: SERVICE, OTHER_ENTRY: service})
+
+
+@then("its service is served within {seconds:d} s")
+def check_later_service(context, seconds):
+    wait(context, seconds)
+    _, host = context.run(context.fleet.open_flow(OTHER_ENTRY))
+    assert host == "h9"
+    assert not get_directory(context).unused
+
+
+def find_at_address(context):
+    """Return the name of the target at the address of two entries."""
+    return get_directory(context).find_by_host("10.2.0.77").target.name
 
 
 @when(
