Nested or huge published values end no reader of the product's own platform

Settings files and files given to the tool ended in a traceback.

Change: decode_json for all of them, a greatest version and a greatest weight, and messages that show a cut form of the value at fault.

--- a/chicorycart/commands/reading.py
+++ b/chicorycart/commands/reading.py
@@ -1,8 +1,6 @@
 """Reads what the tool shows: the platform, daemons and files."""
 
 from asyncio import gather
-from json import JSONDecodeError
-from json import loads
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +20,8 @@
 from chicorycart.defaults import READER_CALLS_BURST
 from chicorycart.defaults import READER_CALLS_PER_SECOND
 from chicorycart.defaults import TOOL_TIMEOUT_SECONDS
+from chicorycart.json_text import decode_json
+from chicorycart.json_text import JsonError
 from chicorycart.pace import TokenBucket
 
 
@@ -94,8 +94,8 @@
         response = await AsyncHTTPClient().fetch(
             f"http://{address}{path}", request_timeout=TOOL_TIMEOUT_SECONDS
         )
-        return Answer(address, loads(response.body))
-    except (HTTPClientError, OSError, JSONDecodeError) as error:
+        return Answer(address, decode_json(response.body))
+    except (HTTPClientError, OSError, JsonError) as error:
         return Answer(address, None, str(error))
 
 
@@ -107,8 +107,10 @@
 def read_json_file(path: Path) -> Any:
     """Read a file of JSON with comments."""
     try:
-        return jsonc.loads(path.read_text(encoding="utf-8"))
+        return decode_json(path.read_text(encoding="utf-8"), jsonc.loads)
     except OSError as error:
         raise BadInputError(f"{path}: {error.strerror}") from error
-    except (JSONDecodeError, UnicodeDecodeError) as error:
+    except JsonError as error:
+        raise BadInputError(f"{path}: {error}") from error
+    except UnicodeDecodeError as error:
         raise BadInputError(f"{path}: not JSON: {error}") from error
--- a/chicorycart/configuration/parse.py
+++ b/chicorycart/configuration/parse.py
@@ -1,7 +1,6 @@
 """Turns published values into services, or refuses them whole."""
 
 from collections.abc import Mapping
-from json import loads
 from pathlib import Path
 from sys import intern
 from typing import Any
@@ -16,6 +15,8 @@
 from chicorycart.configuration.model import ServiceKind
 from chicorycart.configuration.model import Target
 from chicorycart.configuration.model import TargetState
+from chicorycart.json_text import decode_json
+from chicorycart.json_text import JsonError
 from chicorycart.schema import find_faults
 from chicorycart.schema import load_validator
 
@@ -47,7 +48,7 @@
     if faults:
         raise InvalidConfigurationError(
             f"services/{name}{faults[0].path[1:]}",
-            f"{faults[0].allowed} (is {faults[0].value!r:.80})",
+            faults[0].describe(),
         )
     entry = Entry(
         read_address(f"services/{name}.entry", value["entry"]["address"]),
@@ -76,10 +77,10 @@
 def decode_body(name: str, body: bytes) -> Any:
     """Return the JSON value of a published body."""
     try:
-        return loads(body)
-    except ValueError as error:
+        return decode_json(body)
+    except JsonError as error:
         raise InvalidConfigurationError(
-            f"services/{name}", f"not JSON: {error}"
+            f"services/{name}", str(error)
         ) from error
 
 
--- a/chicorycart/configuration/platform.py
+++ b/chicorycart/configuration/platform.py
@@ -9,7 +9,6 @@
 name modulo 64, in two digits.
 """
 
-from json import loads
 from typing import Any
 from typing import Protocol
 
@@ -27,6 +26,9 @@
 from chicorycart.defaults import BUNDLE_MIN_SERVICES
 from chicorycart.defaults import PLATFORM_SHARDS
 from chicorycart.defaults import SKEWED_READ_TRIES
+from chicorycart.json_text import decode_json
+from chicorycart.json_text import JsonError
+from chicorycart.json_text import MAX_WHOLE_NUMBER
 
 
 class Pace(Protocol):
@@ -284,8 +286,10 @@
     if not isinstance(value, dict):
         raise PlatformError("index: expected an object")
     version = value.get("version")
-    if type(version) is not int or version < 0:
-        raise PlatformError("index.version: expected a number from 0")
+    if type(version) is not int or not 0 <= version <= MAX_WHOLE_NUMBER:
+        raise PlatformError(
+            f"index.version: expected a number from 0 to {MAX_WHOLE_NUMBER}"
+        )
     if not is_text_map(value.get("shards")):
         raise PlatformError("index.shards: expected names and digests")
     return Index(version, value["shards"])
@@ -302,9 +306,9 @@
 def decode(key: str, body: bytes) -> Any:
     """Return the JSON value of a body."""
     try:
-        return loads(body)
-    except ValueError as error:
-        raise PlatformError(f"{key}: not JSON: {error}") from error
+        return decode_json(body)
+    except JsonError as error:
+        raise PlatformError(f"{key}: {error}") from error
 
 
 def is_text_map(value: Any) -> bool:
--- a/chicorycart/platform/items.py
+++ b/chicorycart/platform/items.py
@@ -9,6 +9,7 @@
 from chicorycart.address import AddressError
 from chicorycart.address import MAX_PORT
 from chicorycart.address import parse_address
+from chicorycart.json_text import MAX_WHOLE_NUMBER
 from chicorycart.steering.errors import StoreError
 from chicorycart.steering.published import ListedState
 from chicorycart.steering.published import Listing
@@ -22,10 +23,6 @@
 SERVER_PREFIX = "servers/"
 PORT_BYTES = 2
 
-MAX_WHOLE_NUMBER = 2**53 - 1
-"""Largest whole number that every reader of JSON keeps exact (RFC 8259,
-section 6)."""
-
 
 def decode_server(name: str, value: Any) -> Listing:
     """Decode the entry of a host.
--- a/chicorycart/platform/settings.py
+++ b/chicorycart/platform/settings.py
@@ -43,6 +43,8 @@
         raise SettingsError([f"{path}: {error.strerror}"]) from error
     except (TOMLDecodeError, UnicodeDecodeError) as error:
         raise SettingsError([f"{path}: not TOML: {error}"]) from error
+    except RecursionError as error:
+        raise SettingsError([f"{path}: nested too deeply"]) from error
     try:
         return decode_settings(value)
     except (AddressError, KeyError, IndexError, TypeError) as error:
--- a/chicorycart/schema.py
+++ b/chicorycart/schema.py
@@ -2,11 +2,17 @@
 
 from json import loads
 from pathlib import Path
+from reprlib import Repr
 from typing import Any
 
 from jsonschema import Draft202012Validator
 from jsonschema.exceptions import ValidationError
 
+MAX_VALUE_CHARACTERS = 80
+SHORT_REPR = Repr()
+SHORT_REPR.maxstring = SHORT_REPR.maxother = MAX_VALUE_CHARACTERS
+shorten = SHORT_REPR.repr
+
 
 class Fault:
     """One place where a value breaks its schema.
@@ -29,7 +35,11 @@
         self.allowed = allowed
 
     def __str__(self) -> str:
-        return f"{self.path}: {self.allowed} (is {self.value!r:.80})"
+        return f"{self.path}: {self.describe()}"
+
+    def describe(self) -> str:
+        """Return what may stand there and what does, cut where it is long."""
+        return f"{self.allowed} (is {shorten(self.value)})"
 
 
 def load_validator(path: Path) -> Draft202012Validator:
--- a/chicorycart/settings/load.py
+++ b/chicorycart/settings/load.py
@@ -1,6 +1,5 @@
 """Reads settings files: JSON with comments, checked whole."""
 
-from json import JSONDecodeError
 from pathlib import Path
 from typing import Any
 
@@ -10,6 +9,8 @@
 from chicorycart.address import AddressError
 from chicorycart.address import parse_address
 from chicorycart.defaults import REQUEST_DEADLINE_SECONDS
+from chicorycart.json_text import decode_json
+from chicorycart.json_text import JsonError
 from chicorycart.schema import find_faults
 from chicorycart.schema import load_validator
 from chicorycart.settings.errors import SettingsError
@@ -71,10 +72,12 @@
 def read_settings(path: Path, schema: Path) -> dict[str, Any]:
     """Read a file and check it whole; list every fault."""
     try:
-        value = jsonc.loads(path.read_text(encoding="utf-8"))
+        value = decode_json(path.read_text(encoding="utf-8"), jsonc.loads)
     except OSError as error:
         raise SettingsError([f"{path}: {error.strerror}"]) from error
-    except (JSONDecodeError, UnicodeDecodeError) as error:
+    except JsonError as error:
+        raise SettingsError([f"{path}: {error}"]) from error
+    except UnicodeDecodeError as error:
         raise SettingsError([f"{path}: not JSON: {error}"]) from error
     faults = find_faults(load_validator(schema), value)
     lines = [f"{path}: {fault}" for fault in faults]
--- a/tests/configuration/reading.feature
+++ b/tests/configuration/reading.feature
@@ -28,6 +28,25 @@
       | a negative weight | services/s-2.targets[0].weight     |
       | a shared entry    | services/s-2.entry                 |
 
+  # RecursionError or OverflowError ended the task that reads the platform.
+  Scenario Outline: A published value that is <fault> is refused with a reason
+    Then a service that is <fault> is refused at "<path>"
+
+    Examples:
+      | fault                       | path                           |
+      | nested 900 deep             | services/s-1                   |
+      | nested 2,000 deep           | services/s-1                   |
+      | of a weight of 400 digits   | services/s-1.targets[0].weight |
+      | of a weight nested 900 deep | services/s-1.targets[0].weight |
+
+  Scenario Outline: An index <fault> is refused with a reason
+    Then an index <fault> is refused
+
+    Examples:
+      | fault                        |
+      | nested 2,000 deep            |
+      | with a version of 400 digits |
+
   Scenario Outline: Values newer or older than the index make no mixture
     When the platform serves <values> of another version than its index once
     Then the reader ends with a version exactly as it was published
--- a/tests/configuration/reading_steps.py
+++ b/tests/configuration/reading_steps.py
@@ -7,15 +7,20 @@
 from behave import then
 from behave import when
 
+from chicorycart.configuration.errors import InvalidConfigurationError
 from chicorycart.configuration.errors import PlatformError
+from chicorycart.configuration.parse import parse_service
+from chicorycart.configuration.platform import parse_index
 from tests.configuration.builders import bodies_of
 from tests.configuration.builders import bodies_on
 from tests.configuration.builders import publish
 from tests.configuration.builders import publish_many
 from tests.configuration.builders import Reader
+from tests.standins.platform import encode
 from tests.standins.platform import Platform
 from tests.standins.platform import shard_of
 
+MAX_MESSAGE_CHARACTERS = 300
 FAULTS = {
     "a negative weight": publish(2, weight=-1.0),
     "a shared entry": {**publish(2), "entry": publish(1)["entry"]},
@@ -228,3 +233,46 @@
         return await context.reader.values.read(key)
 
     context.reader.values.watch = answer
+
+
+def nest(depth):
+    """Return the text of a list nested in others."""
+    return b"[" * depth + b"]" * depth
+
+
+def write_service(weight):
+    """Return the published text of a service with a weight."""
+    return encode(publish(1, weight="WEIGHT")).replace(b'"WEIGHT"', weight)
+
+
+ODD_SERVICES = {
+    "nested 900 deep": nest(900),
+    "nested 2,000 deep": nest(2_000),
+    "of a weight of 400 digits": write_service(b"9" * 400),
+    "of a weight nested 900 deep": write_service(nest(900)),
+}
+ODD_INDEXES = {
+    "nested 2,000 deep": nest(2_000),
+    "with a version of 400 digits": encode({"version": 10**399, "shards": {}}),
+}
+
+
+@then('a service that is {fault} is refused at "{path}"')
+def check_odd_service(context, fault, path):
+    try:
+        parse_service("s-1", ODD_SERVICES[fault])
+    except InvalidConfigurationError as error:
+        assert str(error).startswith(f"{path}: "), error
+        assert len(str(error)) < MAX_MESSAGE_CHARACTERS
+    else:
+        raise AssertionError("it was taken")
+
+
+@then("an index {fault} is refused")
+def check_odd_index(context, fault):
+    try:
+        parse_index(ODD_INDEXES[fault])
+    except PlatformError as error:
+        assert str(error).startswith("index")
+    else:
+        raise AssertionError("it was taken")
--- a/tests/platform_adapter/settings.feature
+++ b/tests/platform_adapter/settings.feature
@@ -25,6 +25,7 @@
       | fault                     | text      |
       | that is not there         | No such   |
       | that is not TOML          | not TOML  |
+      | nested 5,000 deep         | nested    |
       | without its listeners     | listen    |
       | with an address of text   | expected  |
       | with inner ports of text  | TypeError |
--- a/tests/platform_adapter/settings_steps.py
+++ b/tests/platform_adapter/settings_steps.py
@@ -41,6 +41,7 @@
 )
 FAULTS = {
     "that is not TOML": "node = ",
+    "nested 5,000 deep": "node = " + "[" * 5_000,
     "without its listeners": BALANCER.replace("[listen]", "[other]"),
     "with an address of text": BALANCER.replace("10.1.0.10:8172", "here"),
     "with inner ports of text": BALANCER.replace("[7720,7735]", '["a", "b"]'),
--- a/tests/settings/load.feature
+++ b/tests/settings/load.feature
@@ -20,6 +20,11 @@
       | 'colour' was unexpected       |
       | 'name' is a required property |
 
+  Scenario: A file that is nested too deeply is refused with the reason
+    Given a settings file that is nested 5,000 deep
+    When the operator checks them
+    Then the only fault is that it is nested too deeply
+
   Scenario Outline: Bad files are refused with the reason
     Given a settings file that holds <text>
     When the daemon is started with them
--- a/tests/settings/load_steps.py
+++ b/tests/settings/load_steps.py
@@ -62,6 +62,17 @@
     write_settings(context, text)
 
 
+@given("a settings file that is nested 5,000 deep")
+def nest_settings(context):
+    write_settings(context, "[" * 5_000)
+
+
+@then("the only fault is that it is nested too deeply")
+def check_nested(context):
+    (fault,) = context.faults
+    assert fault.endswith("nested too deeply")
+
+
 @when("the operator checks them")
 def check_settings(context):
     context.faults = []
