Bound the names in entries of the store

Cause: an entry of another writer may name a service or failure domain of up to a megabyte, and entries of services that are not configured are kept; a hundred of them would exceed the memory of a balancer (114 MB on the smallest machines). The check of addresses cost more than its worth.

Change: names have 1 to 255 characters; the first byte tells an address of one host. Three rows more in "An invalid entry gives no host and does not affect the others".

--- a/chicorycart/platform/items.py
+++ b/chicorycart/platform/items.py
@@ -1,6 +1,5 @@
 """Decodes the items of the platform's store."""
 
-from ipaddress import IPv4Address
 from reprlib import repr as shorten
 from socket import inet_aton
 from typing import Any
@@ -23,6 +22,13 @@
 SERVER_PREFIX = "servers/"
 PORT_BYTES = 2
 
+FIRST_MULTICAST_BYTE = 224
+"""First byte of the lowest multicast address; no host has one above."""
+
+MAX_NAME_CHARACTERS = 255
+"""Longest name of a service or failure domain; an entry with a longer one is
+not kept in memory."""
+
 
 def decode_server(name: str, value: Any) -> Listing:
     """Decode the entry of a host.
@@ -41,9 +47,9 @@
         read_whole(value, "seq")
         return Listing(
             name,
-            read_field(value, "service", str),
+            read_name(value, "service"),
             read_host_address(value),
-            read_field(value, "zone", str),
+            read_name(value, "zone"),
             max(1, read_whole(value, "slots")),
             ListedState(read_field(value, "state", str)),
             read_whole(value, "born"),
@@ -62,8 +68,8 @@
         If it is missing or cannot be that of one host.
     """
     address = parse_address(read_field(value, "address", str))
-    ip = IPv4Address(address.host)
-    if ip.is_multicast or ip.is_reserved or ip.is_unspecified:
+    first_byte = int(address.host.partition(".")[0])
+    if not 0 < first_byte < FIRST_MULTICAST_BYTE:
         raise AddressError(f"{address}: not the address of one host")
     if address.port == 0:
         raise AddressError(f"{address}: port 0 receives nothing")
@@ -189,6 +195,23 @@
     return found
 
 
+def read_name(value: Any, name: str) -> str:
+    """Return a text that is used as a name.
+
+    Raises
+    ------
+    ValueError
+        If it is missing, no text, empty or too long.
+    """
+    found = read_field(value, name, str)
+    if not 0 < len(found) <= MAX_NAME_CHARACTERS:
+        raise ValueError(
+            f"{name}: expected 1 to {MAX_NAME_CHARACTERS} characters, found"
+            f" {len(found)}"
+        )
+    return found
+
+
 def read_field(value: Any, name: str, expected_type: Any) -> Any:
     """Return a required field.
 
--- a/tests/platform_adapter/store.feature
+++ b/tests/platform_adapter/store.feature
@@ -82,6 +82,9 @@
       | with an address of no host         |
       | with a state of half a character   |
       | with a state of 1 MB               |
+      | with a service of 1 MB             |
+      | without a name of its service      |
+      | with a zone of 1 MB                |
 
   # RecursionError ended the task that follows the store, and nobody noticed.
   Scenario Outline: A balancer goes on following the store after an entry that is <entry>
