Show odd entries of another writer among real processes

Other operators report machines that ended again and again, or stopped following the list of hosts, after an entry that was nested, or had a number too large or a port out of range. The scenario writes all of these, bytes that are no text, and an exporter's entry beside a host, changes the configuration, kills the balancers and asks again.

--- a/tests/system/steering.feature
+++ b/tests/system/steering.feature
@@ -14,6 +14,17 @@
     And every process gets SIGTERM
     Then every process ends with 0 within 8 s
 
+  # Daemons stopped following the store; elsewhere they ended again and again.
+  Scenario: Odd entries in the store end no process, stop no change and hide no host
+    Given a store, 2 hosts with agents and 2 balancers as processes
+    When another program writes odd entries
+    And version 8 of the configuration is written
+    Then every balancer has version 8 within 3 s
+    When every balancer is killed and started again
+    And 20 callers ask through both balancers
+    Then every caller has its own answer
+    And both hosts were asked
+
   Scenario: Standard output that nobody reads holds up no packet
     Given a store, 2 hosts with agents and 2 balancers as processes
     And nobody reads what the processes write
--- a/tests/system/steering_steps.py
+++ b/tests/system/steering_steps.py
@@ -4,6 +4,7 @@
 from asyncio import Semaphore
 from asyncio import sleep
 from asyncio import timeout
+from base64 import b64encode
 from signal import SIGHUP
 from signal import SIGTERM
 
@@ -12,6 +13,9 @@
 from behave import when
 
 from chicorycart.platform.settings import METRICS_PORT
+from tests.standins.kv import encode
+from tests.standins.kv import make_config
+from tests.standins.kv import make_entry
 from tests.standins.kv import serve_store
 from tests.standins.kv import StandInStore
 from tests.standins.processes import PlatformProcesses
@@ -20,6 +24,7 @@
 HOSTS = {"h1": 2, "h2": 3}
 BALANCERS = {"b1": 4, "b2": 5}
 LATE = 6
+EXPORTER_PORT = 9300
 
 
 @given("a store, 2 hosts with agents and 2 balancers as processes")
@@ -30,6 +35,7 @@
 
 async def start(context):
     store = StandInStore()
+    context.store = store
     server, port = serve_store(store)
     context.cleanups.callback(server.stop)
     fleet = context.fleet = PlatformProcesses(f"127.0.0.1:{port}")
@@ -127,6 +133,63 @@
     assert 'chicorycart_agent_packets_total{outcome="delivered"}' in agent
 
 
+@when("another program writes odd entries")
+def write_odd_entries(context):
+    beside = {
+        "service": "exporter",
+        "address": f"{context.fleet.find_ip(HOSTS['h1'])}:{EXPORTER_PORT}",
+        "born": 2**50,
+    }
+    values = {
+        "nested": b64encode(b"[" * 2_000).decode(),
+        "no-text": b64encode(b"\xff\xfe").decode(),
+        "huge": encode(make_entry(9, coldRemainingMs=10**399)),
+        "slots": encode(make_entry(9, slots=10**399)),
+        "port": encode(make_entry(9, address="10.2.0.9:65536")),
+        "exporter": encode(make_entry(9, **beside)),
+    }
+    for name, value in values.items():
+        context.store.put(f"servers/{name}", value)
+
+
+@when("version {version:d} of the configuration is written")
+def write_version(context, version):
+    config = {**make_config(), "version": version}
+    context.store.put("op/config", encode(config))
+
+
+@then("every balancer has version {version:d} within {seconds:d} s")
+def check_version(context, version, seconds):
+    line = f"event=in_force version={version} ".encode()
+
+    async def wait():
+        async with timeout(seconds):
+            for name in BALANCERS:
+                await context.fleet.wait_written(name, line)
+
+    context.run(wait())
+
+
+@when("every balancer is killed and started again")
+def restart_balancers(context):
+    async def restart():
+        fleet = context.fleet
+        for name, number in BALANCERS.items():
+            fleet.processes[name].kill()
+            await fleet.processes[name].wait()
+            await fleet.start(name, fleet.find_ip(number))
+        for number in BALANCERS.values():
+            await fleet.wait_ready(fleet.find_ip(number))
+
+    context.run(restart())
+
+
+@then("both hosts were asked")
+def check_hosts_asked(context):
+    names = {c.answers[0].partition(b":")[0] for c in context.callers}
+    assert names == {name.encode() for name in HOSTS}, names
+
+
 @when("every process gets SIGHUP, early and late")
 def hang_up(context):
     async def run():
