--- a/measure/steering.py
+++ b/measure/steering.py
@@ -73,6 +73,7 @@
         events = EventLog("measure", clock)
         codec = PlatformCodec(FABRIC_PORT)
         directory = Directory(clock, LINK_PORT, 60.0)
+        directory.add_services({SERVICE})
         for number in range(1, TARGETS + 1):
             directory.apply(make_change(number))
         follower = StoreFollower(None, directory, RoutesInForce(), None, clock)
