HTTP client: time out on silence, close calls that are given up

A call of the store had one timeout for the whole answer, so a large answer on a thin link was given up while it arrived, and asked for again with twice the time. A call that its caller cancelled stayed open until its timeout, and ten such calls kept all others waiting.

Evidence: on the four new scenarios of store.feature fail: an answer in 8 parts of 0.2 s with a timeout of 0.5 s, "Timeout during request"; of 30 calls at once 10 reach the store. (Two of the four fail there for the class of the error alone.)

The timeout counts from the last data; `transfer_seconds` limits the whole. Each request has its connection, closed when the request ends, is given up or is cancelled. SilentLinkError and StoreSilentError tell silence from a refusal.

--- a/chicorycart/platform/start.py
+++ b/chicorycart/platform/start.py
@@ -31,8 +31,10 @@
     from chicorycart.links.http import HttpClient
     from chicorycart.platform.store import MetadataStore
     from chicorycart.steering.balancer import SteeringBalancer
+    from chicorycart.steering.limits import MAX_TRANSFER_SECONDS
 
-    store = MetadataStore(HttpClient([f"http://{settings.store}"]))
+    client = HttpClient([f"http://{settings.store}"], MAX_TRANSFER_SECONDS)
+    store = MetadataStore(client)
     return SteeringBalancer(settings, codec, store)
 
 
--- a/chicorycart/platform/store.py
+++ b/chicorycart/platform/store.py
@@ -10,6 +10,7 @@
 from chicorycart.json_text import decode_json
 from chicorycart.json_text import JsonError
 from chicorycart.links.errors import LinkError
+from chicorycart.links.errors import SilentLinkError
 from chicorycart.links.http import HttpClient
 from chicorycart.platform.items import CONFIG_KEY
 from chicorycart.platform.items import decode_config
@@ -17,6 +18,7 @@
 from chicorycart.platform.items import SERVER_PREFIX
 from chicorycart.steering.errors import HistoryLostError
 from chicorycart.steering.errors import StoreError
+from chicorycart.steering.errors import StoreSilentError
 from chicorycart.steering.published import Changes
 from chicorycart.steering.published import ENTRY_REMOVED
 from chicorycart.steering.published import ListingChange
@@ -106,7 +108,7 @@
         query = {
             "prefix": ALL_KEYS,
             "after": after,
-            "waitMs": round(seconds * 1000),
+            "waitMs": max(SHORTEST_WAIT_MS, round(seconds * 1000)),
         }
         page = await self.call(WATCH_PATH, query, seconds + answer_seconds)
         return decode_changes(page, read_items(page, "events"))
@@ -130,6 +132,8 @@
         ------
         HistoryLostError
             If the store has discarded the history that was asked for.
+        StoreSilentError
+            If nothing of the answer arrived for some seconds.
         StoreError
             If the call failed or the answer is not a JSON object with the
             revision of the store, or names an invalid era.
@@ -138,6 +142,8 @@
             answer = await self.source.get(
                 f"{path}?{urlencode(query)}", seconds
             )
+        except SilentLinkError as error:
+            raise StoreSilentError(str(error)) from error
         except LinkError as error:
             raise StoreError(str(error)) from error
         if answer.status == GONE and path == WATCH_PATH:
--- a/chicorycart/steering/errors.py
+++ b/chicorycart/steering/errors.py
@@ -11,6 +11,10 @@
     """A call to the store failed, or the answer has an undocumented form."""
 
 
+class StoreSilentError(StoreError):
+    """A call to the store got no answer in time."""
+
+
 class HistoryLostError(StoreError):
     """The store has discarded changes after the requested revision."""
 
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -151,12 +151,22 @@
 wait; the rest is left for a new connection and its answer."""
 
 ANSWER_SECONDS = 1.0
-"""First time that the store gets for an answer beyond the watch's own wait.
-With WATCH_SECONDS, a dead connection is given up within 3 s."""
+"""Longest time without data of an answer, beyond the watch's own wait, after
+which another call is sent. With WATCH_SECONDS, a dead connection is given up
+within 3 s."""
 
 MAX_ANSWER_SECONDS = 8.0
-"""Longest such time, after failures: a value of a megabyte takes 2 s on a link
-of 5 Mbit/s that carries nothing else."""
+"""Longest time without data that a patient call bears, so that a store with
+slow answers is read too, while other calls notice the return of a silent one.
+"""
+
+PATIENT_CALL_SECONDS = 2.0
+"""Shortest interval between two patient calls, so that at most four wait at a
+time, and one that was sent to a silent store delays the next by no more."""
+
+MAX_TRANSFER_SECONDS = 8.0
+"""Further time for an answer that keeps arriving: one of a megabyte takes 2 s
+on a link of 5 Mbit/s that carries nothing else."""
 
 GATHER_SECONDS = 0.5
 """Shortest usual pause between two watch calls, so that several changes come
--- a/chicorycart/steering/published.py
+++ b/chicorycart/steering/published.py
@@ -146,10 +146,12 @@
         Parameters
         ----------
         answer_seconds : float
-            Longest time to wait for each answer.
+            Longest time in which nothing of an answer arrives.
 
         Raises
         ------
+        StoreSilentError
+            If nothing arrived for that time.
         StoreError
             If the call failed or its answer is not of the documented form.
         """
@@ -164,14 +166,17 @@
         after : int
             Changes with a higher revision are returned.
         seconds : float
-            Time for which the store may wait for a change.
+            Time for which the store may wait for a change; 0 asks for past
+            changes only.
         answer_seconds : float
-            Longest time to wait for the answer beyond that.
+            Longest time beyond that in which nothing of the answer arrives.
 
         Raises
         ------
         HistoryLostError
             If the store has discarded some of these changes.
+        StoreSilentError
+            If nothing arrived for that time.
         StoreError
             If the call failed or its answer is not of the documented form.
         """
@@ -184,12 +189,14 @@
         after : int
             Changes with a higher revision are returned.
         answer_seconds : float
-            Longest time to wait for the answer.
+            Longest time in which nothing of the answer arrives.
 
         Raises
         ------
         HistoryLostError
             If the store has discarded some of these changes.
+        StoreSilentError
+            If nothing arrived for that time.
         StoreError
             If the call failed or its answer is not of the documented form.
         """
--- a/tests/platform_adapter/store.feature
+++ b/tests/platform_adapter/store.feature
@@ -45,6 +45,26 @@
     Then the client reports that the store failed
     And that took less than 3 s
 
+  # A large answer on a thin link was given up and asked for anew.
+  Scenario: An answer that takes longer than the timeout is read as long as it keeps arriving
+    When the store sends each answer in 8 parts, 0.2 s apart
+    And the client reads everything
+    Then 3 hosts and version 7 with its routes are there
+
+  Scenario: An answer that keeps arriving for too long is given up
+    When the store sends each answer in 50 parts, 0.2 s apart
+    Then a read with 2 s for the rest of an answer fails within 3 s
+
+  Scenario: An answer that stops half-way is given up in time
+    When the store sends half of each answer, and then nothing
+    Then the client reports that the store is silent within 1 s
+
+  # Calls that were given up stayed open until their timeouts, ten at most.
+  Scenario: A call that is given up closes its connection
+    When the store does not answer at all
+    And the client gives up 30 calls
+    Then no call is open at the store
+
   Scenario Outline: An invalid entry gives no host and does not affect the others
     When an entry is <entry>
     And the client reads everything
--- a/tests/platform_adapter/store_steps.py
+++ b/tests/platform_adapter/store_steps.py
@@ -30,6 +30,7 @@
 from chicorycart.steering.directory import Directory
 from chicorycart.steering.errors import HistoryLostError
 from chicorycart.steering.errors import StoreError
+from chicorycart.steering.errors import StoreSilentError
 from chicorycart.steering.follow import RoutesInForce
 from chicorycart.steering.follow import StoreFollower
 from chicorycart.steering.limits import RETRY_INITIAL_SECONDS
@@ -46,6 +47,7 @@
 LINK_PORT = 7720
 FLOW_TTL_SECONDS = 60.0
 POLL_SECONDS = 0.02
+TRANSFER_SECONDS = 8.0
 HUGE = 10**399
 
 
@@ -58,7 +60,7 @@
             store.put(f"servers/i-{number}", encode(make_entry(number)))
         context.server, port = serve_store(context.store)
         context.client = MetadataStore(
-            HttpClient([f"http://127.0.0.1:{port}"])
+            HttpClient([f"http://127.0.0.1:{port}"], TRANSFER_SECONDS)
         )
 
     context.run(start())
@@ -192,6 +194,57 @@
     assert context.seconds < seconds, context.seconds
 
 
+@when("the store sends each answer in {count:d} parts, {seconds:g} s apart")
+def send_parts(context, count, seconds):
+    context.store.parts = count
+    context.store.part_seconds = seconds
+
+
+@then(
+    "a read with {transfer:g} s for the rest of an answer fails within"
+    " {seconds:g} s"
+)
+def check_transfer(context, transfer, seconds):
+    client = HttpClient(context.client.source.bases, transfer)
+    store = MetadataStore(client)
+    run_call(context, lambda: store.read_all(0.5))
+    assert isinstance(context.error, StoreSilentError), context.error
+    assert context.seconds < seconds, context.seconds
+
+
+@when("the store sends half of each answer, and then nothing")
+def stop_half_way(context):
+    context.store.parts = 2
+    context.store.lost_parts = 1
+
+
+@then("the client reports that the store is silent within {seconds:g} s")
+def check_silent(context, seconds):
+    run_call(context, lambda: context.client.read_all(0.5))
+    assert isinstance(context.error, StoreSilentError), context.error
+    assert context.seconds < seconds, context.seconds
+
+
+@when("the client gives up {count:d} calls")
+def give_up(context, count):
+    async def call():
+        return [
+            create_task(context.client.read_all(5.0)) for _ in range(count)
+        ]
+
+    calls = context.run(call())
+    wait_for(context, lambda: context.store.waiting == count)
+    assert context.store.waiting == count, context.store.waiting
+    for call in calls:
+        call.cancel()
+
+
+@then("no call is open at the store")
+def check_closed(context):
+    wait_for(context, lambda: context.store.waiting == 0)
+    assert context.store.waiting == 0, context.store.waiting
+
+
 def nest(depth):
     """Return opening brackets as the store has them."""
     return b64encode(b"[" * depth + b"]" * depth).decode()
--- a/tests/standins/kv.py
+++ b/tests/standins/kv.py
@@ -1,6 +1,7 @@
 """Stands in for the platform's store, over HTTP."""
 
 from asyncio import Event
+from asyncio import sleep
 from base64 import b64encode
 from json import dumps
 
@@ -65,6 +66,14 @@
         Text of every answer, in place of what was asked for.
     page, max_events : int
         Most items of a page, and most events of a watch's answer.
+    parts : int
+        Number of parts in which an answer is sent.
+    part_seconds : float
+        Pause before each part but the first.
+    lost_parts : int
+        Last parts that are never sent.
+    waiting : int
+        Calls whose connections are open.
     """
 
     def __init__(self):
@@ -77,6 +86,10 @@
         self.status = OK
         self.body = None
         self.watch_status = OK
+        self.parts = 1
+        self.part_seconds = 0.0
+        self.lost_parts = 0
+        self.waiting = 0
         self.answering = Event()
         self.answering.set()
         self.kept_since = 0
@@ -167,6 +180,44 @@
     def initialize(self, store):
         """Take the store."""
         self.store = store
+        self.is_open = False
+
+    def prepare(self):
+        """Count the call as open."""
+        self.is_open = True
+        self.store.waiting += 1
+
+    def end(self):
+        """Count the call as answered or closed by its client."""
+        self.store.waiting -= self.is_open
+        self.is_open = False
+
+    def on_finish(self):
+        """Note that the answer is complete."""
+        self.end()
+
+    def on_connection_close(self):
+        """Note that the client closed the connection."""
+        super().on_connection_close()
+        self.end()
+
+    async def send(self, content):
+        """Send an answer, in parts if the store does so."""
+        store = self.store
+        body = dumps(content).encode()
+        size = -(-len(body) // store.parts)
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Content-Length", len(body))
+        for number in range(store.parts - store.lost_parts):
+            if number:
+                await sleep(store.part_seconds)
+            if not self.is_open:
+                return
+            self.write(body[number * size : (number + 1) * size])
+            await self.flush()
+        if store.lost_parts:
+            await Event().wait()
+        self.finish()
 
     async def get(self, call):
         """Answer one call, in whatever way the scenario wants."""
@@ -182,7 +233,7 @@
         prefix = self.get_query_argument("prefix")
         after = self.get_query_argument("after", "")
         if call == "range":
-            self.finish(store.read_page(prefix, after))
+            await self.send(store.read_page(prefix, after))
             store.note_answer()
             return
         if store.watch_status != OK:
@@ -200,7 +251,7 @@
             self.set_status(UNAVAILABLE)
             self.finish({})
             return
-        self.finish(store.list_events(prefix, int(after)))
+        await self.send(store.list_events(prefix, int(after)))
 
 
 def serve_store(store):
