--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -1,11 +1,14 @@
 """Stands in for a store that is only read, in virtual time."""
 
 from asyncio import Event
+from asyncio import get_running_loop
 from asyncio import sleep
 from asyncio import timeout
+from contextlib import asynccontextmanager
 
 from chicorycart.steering.errors import HistoryLostError
 from chicorycart.steering.errors import StoreError
+from chicorycart.steering.errors import StoreSilentError
 from chicorycart.steering.published import Changes
 from chicorycart.steering.published import ENTRY_REMOVED
 from chicorycart.steering.published import ListingChange
@@ -27,6 +30,13 @@
         Whether every call fails.
     is_silent : bool
         Whether a call that waits hears nothing until it gives up.
+    is_hanging : bool
+        Whether no call is answered.
+    open_calls : int
+        Calls that are neither answered nor given up.
+    hangs : int
+        Times that the store began to hang; a call that was under way then is
+        not answered later either.
     answer_seconds : float
         Time that an answer takes.
     max_events : int
@@ -48,6 +58,9 @@
         self.kept_since = 0
         self.is_down = False
         self.is_silent = False
+        self.is_hanging = False
+        self.hangs = 0
+        self.open_calls = 0
         self.answer_seconds = ANSWER_SECONDS
         self.max_events = MAX_EVENTS
         self.watchers = 0
@@ -129,12 +142,48 @@
             kept[-1][0] if len(kept) < len(changes) else None,
         )
 
+    def hang(self):
+        """Answer no call that is under way or comes from now on."""
+        self.is_hanging = True
+        self.hangs += 1
+
+    @asynccontextmanager
+    async def keep_unanswered(self, limit):
+        """Fail a call as late as its limit if the store hung meanwhile."""
+        self.open_calls += 1
+        try:
+            async with self.hang_on(limit):
+                yield
+        finally:
+            self.open_calls -= 1
+
+    @asynccontextmanager
+    async def hang_on(self, limit):
+        """Leave a call without an answer if the store hung meanwhile."""
+        began = get_running_loop().time()
+        hangs = self.hangs
+        error = None
+        try:
+            yield
+        except StoreError as raised:
+            error = raised
+        if self.is_hanging or self.hangs != hangs:
+            await sleep(began + limit - get_running_loop().time())
+            error = StoreSilentError("no answer, ever")
+        if error is not None:
+            raise error
+
     async def answer(self, limit):
         """Take the time of a call, or fail."""
         self.calls += 1
+        async with self.keep_unanswered(limit):
+            await self.take_time(limit)
+
+    async def take_time(self, limit):
+        """Take the time of an answer."""
         await sleep(min(self.answer_seconds, limit))
         if self.answer_seconds > limit:
-            raise StoreError("no answer in time")
+            raise StoreSilentError("no answer in time")
         if self.is_down:
             raise StoreError("the store is down")
 
@@ -148,7 +197,13 @@
 
     async def watch(self, after, seconds, answer_seconds):
         """Wait for changes above a revision."""
-        await self.answer(seconds + answer_seconds)
+        self.calls += 1
+        async with self.keep_unanswered(seconds + answer_seconds):
+            return await self.wait_for_changes(after, seconds, answer_seconds)
+
+    async def wait_for_changes(self, after, seconds, answer_seconds):
+        """Answer a watch."""
+        await self.take_time(seconds + answer_seconds)
         self.check_history(after)
         era = self.era
         self.watchers += 1
@@ -160,7 +215,7 @@
                     await self.changed.wait()
         except TimeoutError:
             if self.is_silent:
-                raise StoreError("no answer") from None
+                raise StoreSilentError("no answer") from None
         finally:
             self.watchers -= 1
         if self.era != era:
