--- a/tests/platform_adapter/store.feature
+++ b/tests/platform_adapter/store.feature
@@ -15,6 +15,11 @@
     When a host drains while the client watches
     Then the watch returns that it drains
 
+  # The stand-in never answered a watch without changes.
+  Scenario: A watch without changes is answered once its time is over
+    When the client watches for 0.3 s without a change
+    Then the watch returns no change after 0.3 s
+
   Scenario: A discarded history is distinguished from other failures
     When the store answers a watch with 410
     Then the client reports that the history is lost
--- a/tests/platform_adapter/store_steps.py
+++ b/tests/platform_adapter/store_steps.py
@@ -114,6 +114,23 @@
     assert context.changes.revision == context.store.revision
 
 
+@when("the client watches for {seconds:g} s without a change")
+def watch_idle(context, seconds):
+    async def watch():
+        after = context.store.revision
+        context.changes = await context.client.watch(after, seconds, 2.0)
+
+    run_call(context, watch)
+
+
+@then("the watch returns no change after {seconds:g} s")
+def check_idle(context, seconds):
+    assert context.error is None, context.error
+    assert context.changes.listings == [] and context.changes.routes is None
+    assert context.changes.revision == context.store.revision
+    assert seconds <= context.seconds < seconds + 1.0, context.seconds
+
+
 @when("the store answers a watch with 410")
 def lose_history(context):
     context.store.watch_status = GONE
--- a/tests/standins/kv.py
+++ b/tests/standins/kv.py
@@ -2,7 +2,9 @@
 
 from asyncio import Event
 from asyncio import sleep
+from asyncio import timeout
 from base64 import b64encode
+from contextlib import suppress
 from json import dumps
 
 from tornado.httpserver import HTTPServer
@@ -232,6 +234,7 @@
             return
         prefix = self.get_query_argument("prefix")
         after = self.get_query_argument("after", "")
+        wait_ms = self.get_query_argument("waitMs", "0")
         if call == "range":
             await self.send(store.read_page(prefix, after))
             store.note_answer()
@@ -244,9 +247,11 @@
             self.set_status(GONE)
             self.finish({})
             return
-        while store.era == era and store.revision <= int(after):
-            store.changed.clear()
-            await store.changed.wait()
+        with suppress(TimeoutError):
+            async with timeout(int(wait_ms) / 1000):
+                while store.era == era and store.revision <= int(after):
+                    store.changed.clear()
+                    await store.changed.wait()
         if store.era != era:
             self.set_status(UNAVAILABLE)
             self.finish({})
