Store: overlapping calls in a module of their own; say how the store came back

No change of what is called when. `store_regained` says how many calls failed and whether a patient one was answered, so that logs tell a silent store from a slow one.

--- a/chicorycart/steering/follow.py
+++ b/chicorycart/steering/follow.py
@@ -1,12 +1,8 @@
 """Keeps targets and routes up to date: reads the store, then watches it."""
 
-from asyncio import create_task
 from asyncio import Event
-from asyncio import FIRST_COMPLETED
 from asyncio import sleep
-from asyncio import Task
 from asyncio import timeout
-from asyncio import wait
 
 from logbook import Logger
 
@@ -19,13 +15,12 @@
 from chicorycart.steering.errors import StoreSilentError
 from chicorycart.steering.limits import ANSWER_SECONDS
 from chicorycart.steering.limits import GATHER_SECONDS
-from chicorycart.steering.limits import MAX_ANSWER_SECONDS
 from chicorycart.steering.limits import MAX_GATHERED
 from chicorycart.steering.limits import MIN_GATHER_SECONDS
-from chicorycart.steering.limits import PATIENT_CALL_SECONDS
 from chicorycart.steering.limits import RELISTING_SECONDS
 from chicorycart.steering.limits import WATCH_SECONDS
 from chicorycart.steering.limits import WATCH_SETTLE_SECONDS
+from chicorycart.steering.overlap import OverlappingCalls
 from chicorycart.steering.published import Changes
 from chicorycart.steering.published import PublishedStore
 from chicorycart.steering.routes import NO_ROUTES
@@ -68,13 +63,8 @@
 
     A store that was restored from a copy gives out revisions anew. So a
     position is an era and a revision, and after a change of the era, in either
-    direction, everything is read anew.
-
-    A call that gets no answer is followed by others, since the store may be
-    back for new connections only. Patient ones, started now and then, wait for
-    a store with slow answers, while the others are given up and repeated. The
-    first answer ends all other calls, so no answer is older than the one
-    before.
+    direction, everything is read anew. The first answer ends all other calls,
+    so no answer is older than the one before.
 
     Parameters
     ----------
@@ -113,18 +103,16 @@
         Time at which the watch was sent that waits now; None in a pause.
     call_requested : Event
         Ends the present pause.
-    patient_calls : set of Task
-        Calls under way that wait for up to MAX_ANSWER_SECONDS.
-    patient_since : float
-        Time at which the last of them was sent.
-    answer_seconds : float
-        Longest time without data that the call bore which was answered last.
+    overlapping : OverlappingCalls
+        The calls under way.
     is_history_checked, is_proven_complete : bool
         Whether the store's history was read, or tried to be read, since
         `reachable_since`, and whether it proved that every live target is
         known.
     failed_calls, calls : int
         Number of failed calls and of all calls so far.
+    failed_before : int
+        Number of calls that had failed when the store was last lost.
     """
 
     __slots__ = (
@@ -135,7 +123,6 @@
         "clock",
         "watch_seconds",
         "gather_seconds",
-        "answer_seconds",
         "era",
         "revision",
         "restored_at",
@@ -145,12 +132,12 @@
         "reachable_since",
         "watching_since",
         "call_requested",
-        "patient_calls",
-        "patient_since",
+        "overlapping",
         "is_history_checked",
         "is_proven_complete",
         "loaded",
         "failed_calls",
+        "failed_before",
         "calls",
     )
 
@@ -171,7 +158,6 @@
         self.clock = clock
         self.watch_seconds = watch_seconds
         self.gather_seconds = gather_seconds
-        self.answer_seconds = ANSWER_SECONDS
         self.era = 0
         self.revision = 0
         self.restored_at: float | None = None
@@ -181,12 +167,12 @@
         self.reachable_since = 0.0
         self.watching_since: float | None = None
         self.call_requested = Event()
-        self.patient_calls: set[Task[Changes]] = set()
-        self.patient_since = -PATIENT_CALL_SECONDS
+        self.overlapping = OverlappingCalls(self.call, clock)
         self.is_history_checked = False
         self.is_proven_complete = False
         self.loaded = Event()
         self.failed_calls = 0
+        self.failed_before = 0
         self.calls = 0
 
     async def run(self) -> None:
@@ -195,7 +181,7 @@
             while True:
                 await self.run_once()
         finally:
-            self.drop_patient_calls()
+            self.overlapping.drop_patient()
 
     async def run_once(self) -> None:
         """Read the store once, and wait after a failure."""
@@ -203,7 +189,7 @@
             await self.read_once()
         except (HistoryLostError, StoreRestoredError) as error:
             self.can_watch = False
-            self.drop_patient_calls()
+            self.overlapping.drop_patient()
             LOGGER.warning(
                 "event=history_lost era={} revision={} reason={!r}",
                 self.era,
@@ -213,13 +199,13 @@
         except StoreError as error:
             self.record_failure(error)
             if isinstance(error, StoreSilentError):
-                self.start_patient_call()
+                self.overlapping.start_patient()
             await self.backoff.wait()
 
     async def read_once(self) -> None:
         """Read all entries, or wait for the next changes."""
         is_watch = self.can_watch
-        changes = await self.find_first_answer()
+        changes = await self.overlapping.find_first_answer()
         if is_watch:
             self.apply_watched(changes)
         else:
@@ -232,50 +218,6 @@
         if not (is_watch and len(changes.listings) >= MAX_GATHERED):
             await self.pause()
 
-    async def find_first_answer(self) -> Changes:
-        """Return the answer to a new call, or to a patient one before it.
-
-        Raises
-        ------
-        StoreError
-            If the new call failed.
-        HistoryLostError
-            If the store has discarded the changes that one of them asked for.
-        """
-        self.answer_seconds = ANSWER_SECONDS
-        call = create_task(self.call(ANSWER_SECONDS))
-        try:
-            while not call.done():
-                await wait(
-                    {call, *self.patient_calls}, return_when=FIRST_COMPLETED
-                )
-                answered = self.take_patient_answer()
-                if answered is not None:
-                    self.answer_seconds = MAX_ANSWER_SECONDS
-                    return answered
-            return call.result()
-        finally:
-            discard(call)
-
-    def take_patient_answer(self) -> Changes | None:
-        """Return the answer of a patient call, None if none has one.
-
-        Raises
-        ------
-        HistoryLostError
-            If the store has discarded the changes that one of them asked for.
-        """
-        for call in [c for c in self.patient_calls if c.done()]:
-            self.patient_calls.discard(call)
-            error = call.exception()
-            if error is None:
-                return call.result()
-            if not isinstance(error, StoreError) or isinstance(
-                error, HistoryLostError
-            ):
-                raise error
-        return None
-
     async def call(self, answer_seconds: float) -> Changes:
         """Send one call: a full read, or a watch.
 
@@ -289,20 +231,6 @@
             return await self.store.watch(self.revision, 0.0, answer_seconds)
         return await self.watch(answer_seconds)
 
-    def start_patient_call(self) -> None:
-        """Send a call that waits longer, unless one was sent just before."""
-        now = self.clock.now()
-        if now - self.patient_since >= PATIENT_CALL_SECONDS:
-            self.patient_since = now
-            call = create_task(self.call(MAX_ANSWER_SECONDS))
-            self.patient_calls.add(call)
-
-    def drop_patient_calls(self) -> None:
-        """Give up the calls that wait longer."""
-        for call in self.patient_calls:
-            discard(call)
-        self.patient_calls.clear()
-
     def apply_watched(self, changes: Changes) -> None:
         """Apply the changes of a watch.
 
@@ -435,6 +363,7 @@
         self.failed_calls += 1
         if self.unreachable_since is None:
             self.unreachable_since = self.clock.now()
+            self.failed_before = self.failed_calls - 1
             LOGGER.warning(
                 "event=store_lost reason={!r} version={} revision={}",
                 str(error),
@@ -472,17 +401,13 @@
             self.is_history_checked = self.is_proven_complete = False
         self.last_contact_at = now
         self.backoff.reset()
-        self.drop_patient_calls()
+        self.overlapping.drop_patient()
         if self.unreachable_since is not None:
             LOGGER.info(
-                "event=store_regained away_seconds={:.1f}",
+                "event=store_regained away_seconds={:.1f} failed_calls={}"
+                " patient={}",
                 self.last_contact_at - self.unreachable_since,
+                self.failed_calls - self.failed_before,
+                self.overlapping.answer_seconds > ANSWER_SECONDS,
             )
             self.unreachable_since = None
-
-
-def discard(call: Task[Changes]) -> None:
-    """Give up a call, whether or not it has ended."""
-    if not call.cancel() and not call.cancelled():
-        # Once retrieved, its error is not reported by asyncio as lost.
-        call.exception()
--- a/chicorycart/steering/history_reader.py
+++ b/chicorycart/steering/history_reader.py
@@ -130,7 +130,7 @@
             self.calls_left -= 1
             self.follower.calls += 1
             found = await self.store.read_changes(
-                position, self.follower.answer_seconds
+                position, self.follower.overlapping.answer_seconds
             )
             # A store that was restored may name no era.
             if found.era != era or found.revision <= position:
