Store: a patient call only after a second silence

After a first silence a new connection is mostly all that is needed. A patient call sent at once won against the first new one, so that `patient=True` stood for a store that was not slow, and the history got 8 s for each answer.

outages.feature and targets.feature: 50 passed, twice.

--- a/chicorycart/steering/follow.py
+++ b/chicorycart/steering/follow.py
@@ -197,9 +197,12 @@
                 str(error),
             )
         except StoreError as error:
-            self.record_failure(error)
-            if isinstance(error, StoreSilentError):
+            # After a first silence a new connection may be all that is needed.
+            if self.unreachable_since is not None and isinstance(
+                error, StoreSilentError
+            ):
                 self.overlapping.start_patient()
+            self.record_failure(error)
             await self.backoff.wait()
 
     async def read_once(self) -> None:
