Store: one patient call, and a second at most until its return is noticed

There were up to five, and the wait after a silent call came on top of its second.

Change: one patient call, of 2 s, then 4 and 8 s after each one in vain. Other calls bear 0.6 to 0.9 s without data once the store seems unreachable, jittered, and the next one follows within 0.05 s.

Six scenarios more: heard within 1 s after six kinds of outage.

--- a/chicorycart/steering/follow.py
+++ b/chicorycart/steering/follow.py
@@ -18,6 +18,9 @@
 from chicorycart.steering.limits import MAX_GATHERED
 from chicorycart.steering.limits import MIN_GATHER_SECONDS
 from chicorycart.steering.limits import RELISTING_SECONDS
+from chicorycart.steering.limits import RETURN_JITTER
+from chicorycart.steering.limits import RETURN_SECONDS
+from chicorycart.steering.limits import SILENCE_PAUSE_SECONDS
 from chicorycart.steering.limits import WATCH_SECONDS
 from chicorycart.steering.limits import WATCH_SETTLE_SECONDS
 from chicorycart.steering.overlap import OverlappingCalls
@@ -167,7 +170,7 @@
         self.reachable_since = 0.0
         self.watching_since: float | None = None
         self.call_requested = Event()
-        self.overlapping = OverlappingCalls(self.call, clock)
+        self.overlapping = OverlappingCalls(self.call)
         self.is_history_checked = False
         self.is_proven_complete = False
         self.loaded = Event()
@@ -196,19 +199,22 @@
                 self.revision,
                 str(error),
             )
-        except StoreError as error:
+        except StoreSilentError as error:
             # After a first silence a new connection may be all that is needed.
-            if self.unreachable_since is not None and isinstance(
-                error, StoreSilentError
-            ):
+            if self.unreachable_since is not None:
                 self.overlapping.start_patient()
             self.record_failure(error)
+            await self.backoff.wait(SILENCE_PAUSE_SECONDS)
+        except StoreError as error:
+            self.record_failure(error)
             await self.backoff.wait()
 
     async def read_once(self) -> None:
         """Read all entries, or wait for the next changes."""
         is_watch = self.can_watch
-        changes = await self.overlapping.find_first_answer()
+        changes = await self.overlapping.find_first_answer(
+            self.choose_answer_seconds()
+        )
         if is_watch:
             self.apply_watched(changes)
         else:
@@ -221,6 +227,13 @@
         if not (is_watch and len(changes.listings) >= MAX_GATHERED):
             await self.pause()
 
+    def choose_answer_seconds(self) -> float:
+        """Return how long a call bears no data, jittered after a failure."""
+        if self.unreachable_since is None:
+            return ANSWER_SECONDS
+        jitter = self.backoff.random.uniform(0.0, RETURN_JITTER)
+        return RETURN_SECONDS - jitter
+
     async def call(self, answer_seconds: float) -> Changes:
         """Send one call: a full read, or a watch.
 
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -151,18 +151,23 @@
 wait; the rest is left for a new connection and its answer."""
 
 ANSWER_SECONDS = 1.0
-"""Longest time without data of an answer, beyond the watch's own wait, after
-which another call is sent. With WATCH_SECONDS, a dead connection is given up
-within 3 s."""
+"""Longest time without data of an answer, beyond the watch's own wait. With
+WATCH_SECONDS, a dead connection is given up within 3 s."""
 
-MAX_ANSWER_SECONDS = 8.0
-"""Longest time without data that a patient call bears, so that a store with
-slow answers is read too, while other calls notice the return of a silent one.
+RETURN_SECONDS = 0.9
+"""Longest time without data while the store seems unreachable, so that its
+return is noticed within a second. Jitter shortens it by up to RETURN_JITTER.
 """
 
-PATIENT_CALL_SECONDS = 2.0
-"""Shortest interval between two patient calls, so that at most four wait at a
-time, and one that was sent to a silent store delays the next by no more."""
+RETURN_JITTER = 0.3
+
+SILENCE_PAUSE_SECONDS = 0.05
+"""Longest wait after a call without an answer, which spaces calls itself."""
+
+MIN_PATIENT_SECONDS = 2.0
+MAX_PATIENT_SECONDS = 8.0
+"""Shortest and longest time without data that the patient call bears, so that
+a store with slow answers is read too. It doubles after each one in vain."""
 
 MAX_TRANSFER_SECONDS = 8.0
 """Further time for an answer that keeps arriving: one of a megabyte takes 2 s
--- a/chicorycart/steering/overlap.py
+++ b/chicorycart/steering/overlap.py
@@ -7,12 +7,12 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-from chicorycart.clock import Clock
 from chicorycart.steering.errors import HistoryLostError
 from chicorycart.steering.errors import StoreError
+from chicorycart.steering.errors import StoreSilentError
 from chicorycart.steering.limits import ANSWER_SECONDS
-from chicorycart.steering.limits import MAX_ANSWER_SECONDS
-from chicorycart.steering.limits import PATIENT_CALL_SECONDS
+from chicorycart.steering.limits import MAX_PATIENT_SECONDS
+from chicorycart.steering.limits import MIN_PATIENT_SECONDS
 from chicorycart.steering.published import Changes
 
 
@@ -20,46 +20,41 @@
     """Sends calls for the same changes and returns the first answer.
 
     A connection that was open while the store was silent may stay silent for
-    good while new ones work. So each call is given up soon and sent again.
-    Patient calls wait beside them for a store with slow answers.
+    good while new ones work. So a call is given up soon and sent again, while
+    a patient one beside it waits for a store with slow answers.
 
     Parameters
     ----------
     send : callable
         Sends one call that bears some seconds without data.
-    clock : Clock
-        Spaces the patient calls.
 
     Attributes
     ----------
-    patient_calls : set of Task
-        Calls under way that bear MAX_ANSWER_SECONDS.
-    patient_since : float
-        Time at which the last of them was sent.
+    patient_call : Task or None
+        The patient call under way.
+    patient_seconds : float
+        Time without data that the next patient call bears; the shortest one
+        after an answer to another call.
     answer_seconds : float
         Longest time without data that the call bore which was answered last.
     """
 
-    __slots__ = (
-        "send",
-        "clock",
-        "patient_calls",
-        "patient_since",
-        "answer_seconds",
-    )
-
-    def __init__(
-        self, send: Callable[[float], Awaitable[Changes]], clock: Clock
-    ):
+    __slots__ = ("send", "patient_call", "patient_seconds", "answer_seconds")
+
+    def __init__(self, send: Callable[[float], Awaitable[Changes]]):
         self.send = send
-        self.clock = clock
-        self.patient_calls: set[Task[Changes]] = set()
-        self.patient_since = -PATIENT_CALL_SECONDS
+        self.patient_call: Task[Changes] | None = None
+        self.patient_seconds = MIN_PATIENT_SECONDS
         self.answer_seconds = ANSWER_SECONDS
 
-    async def find_first_answer(self) -> Changes:
+    async def find_first_answer(self, seconds: float) -> Changes:
         """Return the answer to a new call, or to a patient one before it.
 
+        Parameters
+        ----------
+        seconds : float
+            Longest time without data that the new call bears.
+
         Raises
         ------
         StoreError
@@ -67,53 +62,51 @@
         HistoryLostError
             If the store has discarded the changes that one of them asked for.
         """
-        self.answer_seconds = ANSWER_SECONDS
-        call = create_task(self.send(ANSWER_SECONDS))
+        call = create_task(self.send(seconds))
         try:
             while not call.done():
+                patient = self.patient_call
                 await wait(
-                    {call, *self.patient_calls}, return_when=FIRST_COMPLETED
+                    {call, patient} - {None}, return_when=FIRST_COMPLETED
                 )
-                answer = self.take_patient_answer()
-                if answer is not None:
-                    self.answer_seconds = MAX_ANSWER_SECONDS
-                    return answer
-            return call.result()
+                if patient is not None and patient.done():
+                    self.patient_call = None
+                    answer = self.read_patient_answer(patient)
+                    if answer is not None:
+                        return answer
+            changes = call.result()
+            self.answer_seconds = ANSWER_SECONDS
+            self.patient_seconds = MIN_PATIENT_SECONDS
+            return changes
         finally:
             discard(call)
 
-    def take_patient_answer(self) -> Changes | None:
-        """Return the answer of a patient call, None if none has one.
-
-        Raises
-        ------
-        HistoryLostError
-            If the store has discarded the changes that one of them asked for.
-        """
-        for call in [c for c in self.patient_calls if c.done()]:
-            self.patient_calls.discard(call)
-            error = call.exception()
-            if error is None:
-                return call.result()
-            if not isinstance(error, StoreError) or isinstance(
-                error, HistoryLostError
-            ):
-                raise error
+    def read_patient_answer(self, call: Task[Changes]) -> Changes | None:
+        """Return the answer of a patient call that ended, if it has one."""
+        error = call.exception()
+        if error is None:
+            self.answer_seconds = MAX_PATIENT_SECONDS
+            return call.result()
+        if isinstance(error, StoreSilentError):
+            self.patient_seconds = min(
+                2 * self.patient_seconds, MAX_PATIENT_SECONDS
+            )
+        elif isinstance(error, HistoryLostError) or not isinstance(
+            error, StoreError
+        ):
+            raise error
         return None
 
     def start_patient(self) -> None:
-        """Send a patient call, unless one was sent just before."""
-        now = self.clock.now()
-        if now - self.patient_since >= PATIENT_CALL_SECONDS:
-            self.patient_since = now
-            call = create_task(self.send(MAX_ANSWER_SECONDS))
-            self.patient_calls.add(call)
+        """Send a patient call, unless one is under way."""
+        if self.patient_call is None:
+            self.patient_call = create_task(self.send(self.patient_seconds))
 
     def drop_patient(self) -> None:
-        """Give up the patient calls."""
-        for call in self.patient_calls:
-            discard(call)
-        self.patient_calls.clear()
+        """Give up the patient call, if one is under way."""
+        if self.patient_call is not None:
+            discard(self.patient_call)
+            self.patient_call = None
 
 
 def discard(call: Task[Changes]) -> None:
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -215,6 +215,7 @@
                     await self.changed.wait()
         except TimeoutError:
             if self.is_silent:
+                await sleep(answer_seconds)
                 raise StoreSilentError("no answer") from None
         finally:
             self.watchers -= 1
--- a/tests/steering/outages.feature
+++ b/tests/steering/outages.feature
@@ -50,18 +50,31 @@
       | 2     |
       | 5     |
 
+  Scenario Outline: A balancer that has noticed an outage hears the store within 1 s of its return: <outage>
+    Given a fleet of 3 hosts and 3 balancers
+    When the store is away: <outage>
+    Then every balancer hears the store within 1 s
+
+    Examples:
+      | outage                             |
+      | silent 4.6                         |
+      | refused 2.6, silent 2.0            |
+      | refused 5.0                        |
+      | silent 3.0, refused 1.0            |
+      | silent 4.7, back 3.0, silent 4.7   |
+      | refused 2.0, silent 3, refused 0.7 |
+
   Scenario: A store whose answers take 3 s is still read after it was silent
     Given a fleet of 3 hosts and 3 balancers
     When the store is away: silent 4.6
     And the store's answers take 3 s from now on, and version 8 is published
     Then version 8 is in force within 9 s
 
-  # 1.25 calls a second on average, and a patient one every other second.
   Scenario: A silent store is called rarely
     Given a fleet of 3 hosts and 1 balancers
     When the store is silent for 60 s
-    Then the store had at most 80 calls
-    And at most 5 calls waited at a time
+    Then the store had at most 100 calls
+    And at most 2 calls waited at a time
 
   Scenario: A balancer that stops gives up its calls of the store
     Given a fleet of 3 hosts and 1 balancers
--- a/tests/steering/outages_steps.py
+++ b/tests/steering/outages_steps.py
@@ -115,6 +115,13 @@
         assert balancer.follower.routes.current.version == version
 
 
+@then("every balancer hears the store within {seconds:g} s")
+def check_heard(context, seconds):
+    context.run(sleep(seconds))
+    for name, balancer in context.fleet.balancers.items():
+        assert balancer.follower.unreachable_since is None, name
+
+
 @when(
     "the store's answers take {seconds:g} s from now on, and version"
     " {version:d} is published"
