--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -162,7 +162,7 @@
             writer.transport.abort()
             return
         if self.status is not None:
-            await self.refuse(reader, writer)
+            await refuse(reader, writer, self.status)
             return
         up_reader, up_writer = await open_connection(
             "127.0.0.1", self.upstream
@@ -175,20 +175,6 @@
             create_task(self.answer(connection, up_reader)),
         }
 
-    async def refuse(self, reader, writer):
-        """Answer a call with the status."""
-        try:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(
-                b"HTTP/1.1 %d Refused\r\nContent-Length: 0\r\n\r\n"
-                % self.status
-            )
-            await writer.drain()
-        except (OSError, IncompleteReadError):
-            pass
-        finally:
-            writer.close()
-
     async def ask(self, connection, reader):
         """Pass calls on until the process closes the connection."""
         try:
@@ -238,3 +224,15 @@
         self.reset()
         for task in self.tasks:
             task.cancel()
+
+
+async def refuse(reader, writer, status):
+    """Answer a call with a status."""
+    try:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(REFUSAL % status)
+        await writer.drain()
+    except (OSError, IncompleteReadError):
+        pass
+    finally:
+        writer.close()
