--- a/review/standins2/ends.py
+++ b/review/standins2/ends.py
@@ -96,13 +96,17 @@
         Requests that ran.
     resets : set
         Flows that the host itself reset.
+    born_at : float
+        Time of its start by the clock of its machine.
     work : float
         Time that the host works on a request, in seconds.
     taken : list of tuple
         Flow, number of the copy and time of each opening packet that came.
     """
 
-    def __init__(self, name, service, app, outbound, store, record, zone):
+    def __init__(
+        self, name, service, app, outbound, store, record, zone, ahead=0.0
+    ):
         self.name = name
         self.service = service
         self.app = app
@@ -115,6 +119,7 @@
         self.resets = set()
         self.state = "ready"
         self.started_at = time()
+        self.born_at = self.started_at + ahead
         self.socket = None
         self.tasks = set()
         self.seq = 0
@@ -156,7 +161,7 @@
             "slots": SLOTS,
             "state": self.state,
             "coldRemainingMs": int(cold * 1000),
-            "born": int(self.started_at * 1000),
+            "born": int(self.born_at * 1000),
         }
         if entry != self.written:
             self.written = entry
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -7,6 +7,7 @@
 from asyncio import start_server
 from asyncio import timeout
 from base64 import b64encode
+from collections import deque
 from contextlib import suppress
 from json import dumps
 from urllib.parse import parse_qs
@@ -14,6 +15,7 @@
 
 ANSWER_SECONDS = 0.004
 MAX_ITEMS = 500
+HISTORY_SECONDS = 20.0
 
 
 class Store:
@@ -23,8 +25,10 @@
     ----------
     items : dict of str to dict
         Present items by key.
-    history : list of dict
-        Every change, oldest first.
+    history : deque of (float, dict)
+        Time and content of each change of the last HISTORY_SECONDS.
+    discarded : int
+        Revision of the last change that is not there any more.
     watching : dict of str to float
         Time at which the watch of a machine ends that waits now.
     turned_away : set of str
@@ -35,7 +39,8 @@
         self.record = record
         self.revision = 7
         self.items = {}
-        self.history = []
+        self.history = deque()
+        self.discarded = self.revision
         self.watching = {}
         self.turned_away = set()
         self.changed = Event()
@@ -82,7 +87,7 @@
 
     def note(self, event):
         """Keep a change and wake the watches."""
-        self.history.append(event)
+        self.history.append((get_running_loop().time(), event))
         self.changed.set()
         self.changed = Event()
 
@@ -138,6 +143,9 @@
 
     async def watch(self, prefix, after, seconds, machine):
         """Answer with the changes after a revision, once there are any."""
+        self.discard_old()
+        if after < self.discarded:
+            return 410, {}
         self.watching[machine] = get_running_loop().time() + seconds
         with suppress(TimeoutError):
             async with timeout(seconds):
@@ -149,10 +157,16 @@
         events = self.list_events(prefix, after)
         return 200, self.add_revision({"events": events})
 
+    def discard_old(self):
+        """Drop the changes that are older than the history reaches."""
+        oldest = get_running_loop().time() - HISTORY_SECONDS
+        while self.history and self.history[0][0] < oldest:
+            self.discarded = self.history.popleft()[1]["revision"]
+
     def list_events(self, prefix, after):
         """Return the changes after a revision."""
         return [
             e
-            for e in self.history
+            for _, e in self.history
             if e["revision"] > after and e["key"].startswith(prefix)
         ]
--- a/review/standins2/testbed.py
+++ b/review/standins2/testbed.py
@@ -352,8 +352,8 @@
         await daemon.start()
         return daemon
 
-    async def add_host(self, name, daemon):
-        """Start the host beside an agent."""
+    async def add_host(self, name, daemon, ahead=0.0):
+        """Start the host beside an agent, whose clock may be ahead."""
         host = Host(
             name,
             daemon.service,
@@ -362,6 +362,7 @@
             self.store,
             self.record,
             ZONE,
+            ahead,
         )
         self.hosts.append(host)
         await host.start()
