Steering: split the directory of targets into modules of one job

Vanished targets, unused entries and the memory of removed entries are tables of their own; the directory keeps the list and the order in which changes are applied. Calls go to the table that answers them.

--- a/chicorycart/steering/candidates.py
+++ b/chicorycart/steering/candidates.py
@@ -179,7 +179,8 @@
     def is_responsive(self, agent: Address) -> bool:
         """Tell whether a target is expected to answer at once."""
         return not (
-            self.health.is_suspended(agent) or self.directory.is_silent(agent)
+            self.health.is_suspended(agent)
+            or self.directory.vanished.is_silent(agent)
         )
 
     def has_remaining(self, state: SteeredFlow) -> bool:
@@ -200,7 +201,7 @@
     def depends_on_leaving(self, state: SteeredFlow) -> bool:
         """Tell whether only leaving targets may still hold a flow."""
         agents = state.candidates or [state.agent]
-        return all(map(self.directory.is_leaving, agents))
+        return all(map(self.directory.vanished.is_leaving, agents))
 
     def drop_gone(self, state: SteeredFlow) -> None:
         """Remove the candidates of a flow that hold no flows any more."""
--- a/chicorycart/steering/choice.py
+++ b/chicorycart/steering/choice.py
@@ -12,13 +12,13 @@
 from chicorycart.placement.rendezvous import score_target
 from chicorycart.steering.cold import ColdTargets
 from chicorycart.steering.directory import Directory
-from chicorycart.steering.directory import Member
 from chicorycart.steering.evacuation import EvacuatedDomains
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.limits import COLD_WORK_FACTOR
 from chicorycart.steering.limits import DEFAULT_AIM_SECONDS
 from chicorycart.steering.limits import LOAD_STEP_PER_SLOT
 from chicorycart.steering.limits import QUEUE_PER_SLOT
+from chicorycart.steering.members import Member
 
 ROUNDING = 1e-9
 
@@ -94,7 +94,7 @@
         """
         bucket = bucket_of(hash_flow(flow))
         members = self.directory.list_members(service)
-        vanished = self.directory.list_vanished(service)
+        vanished = self.directory.vanished.list_possible_owners(service)
         if all(m.target.agent in asked for m in (*members, *vanished)):
             return []
         targets = [
@@ -206,7 +206,7 @@
             return False
         known = self.directory.find_by_host(
             agent.host
-        ) or self.directory.vanished.get(agent)
+        ) or self.directory.vanished.find(agent)
         return known is not None and self.evacuated.is_evacuated(
             known.target.domain
         )
--- a/chicorycart/steering/cold.py
+++ b/chicorycart/steering/cold.py
@@ -8,12 +8,12 @@
 from chicorycart.clock import Clock
 from chicorycart.operation.events import EventLog
 from chicorycart.steering.directory import Directory
-from chicorycart.steering.directory import Member
 from chicorycart.steering.evacuation_state import Transition
 from chicorycart.steering.follow import RoutesInForce
 from chicorycart.steering.limits import COLD_STEP_SECONDS
 from chicorycart.steering.limits import COLD_WINDOW_SECONDS
 from chicorycart.steering.limits import RESUME_SECONDS
+from chicorycart.steering.members import Member
 from chicorycart.steering.messages import MAX_COLD_MS
 from chicorycart.steering.messages import MAX_COUNT
 from chicorycart.steering.messages import NO_COLD_TIME
--- a/chicorycart/steering/entry_services.py
+++ b/chicorycart/steering/entry_services.py
@@ -162,7 +162,7 @@
     member = directory.find_by_host(agent.host)
     if member is not None:
         return member.listing.service
-    vanished = directory.vanished.get(agent)
+    vanished = directory.vanished.find(agent)
     return vanished.listing.service if vanished is not None else None
 
 
@@ -191,7 +191,7 @@
         Services to leave out.
     """
     services = dict.fromkeys(directory.services)
-    for vanished in directory.vanished.values():
+    for vanished in directory.vanished.list_all():
         services[vanished.listing.service] = None
     for name in excluded:
         services.pop(name, None)
--- a/chicorycart/steering/evacuation.py
+++ b/chicorycart/steering/evacuation.py
@@ -8,7 +8,6 @@
 
 from chicorycart.address import Address
 from chicorycart.clock import Clock
-from chicorycart.steering.directory import Member
 from chicorycart.steering.evacuation_state import DomainState
 from chicorycart.steering.evacuation_state import HeardEvacuation
 from chicorycart.steering.evacuation_state import Transition
@@ -16,6 +15,7 @@
 from chicorycart.steering.limits import MAX_DOMAIN_CHARACTERS
 from chicorycart.steering.limits import MAX_TAKEN_BACK
 from chicorycart.steering.limits import MAX_UNUSED
+from chicorycart.steering.members import Member
 from chicorycart.steering.published import Changes
 from chicorycart.steering.published import EvacuationChange
 
--- a/chicorycart/steering/evacuation_report.py
+++ b/chicorycart/steering/evacuation_report.py
@@ -88,7 +88,7 @@
             known.target.agent
             for known in (
                 *self.directory.members.values(),
-                *self.directory.vanished.values(),
+                *self.directory.vanished.list_all(),
             )
             if known.target.domain == domain
         }
--- a/chicorycart/steering/flows.py
+++ b/chicorycart/steering/flows.py
@@ -7,8 +7,8 @@
 from chicorycart.address import Address
 from chicorycart.clock import Clock
 from chicorycart.packets.segment import Segment
-from chicorycart.steering.directory import Member
 from chicorycart.steering.limits import MAX_FLOWS
+from chicorycart.steering.members import Member
 from chicorycart.steering.opening_hedge import OpeningHedge
 from chicorycart.steering.routes import Route
 from chicorycart.steering.routes import ServiceLevel
--- a/chicorycart/steering/follow.py
+++ b/chicorycart/steering/follow.py
@@ -138,7 +138,7 @@
         self.directory = directory
         self.routes = routes
         self.services = EntryServices(
-            clock, routes, directory.flow_ttl_seconds
+            clock, routes, directory.vanished.flow_ttl_seconds
         )
         self.backoff = backoff
         self.clock = clock
--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -7,13 +7,13 @@
 from chicorycart.packets.segment import Segment
 from chicorycart.steering.choice import find_queue_limit
 from chicorycart.steering.choice import TargetChoice
-from chicorycart.steering.directory import Member
 from chicorycart.steering.entry_services import record_owner
 from chicorycart.steering.flows import SteeredFlow
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.limits import LATE_TIMER_SECONDS
 from chicorycart.steering.limits import MAX_OPENING_TARGETS
 from chicorycart.steering.limits import OPENING_TIMEOUT_SECONDS
+from chicorycart.steering.members import Member
 from chicorycart.steering.messages import FlowReport
 from chicorycart.steering.messages import ReturnReason
 from chicorycart.steering.output import join_agents
--- a/chicorycart/steering/probes.py
+++ b/chicorycart/steering/probes.py
@@ -7,7 +7,6 @@
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.links.datagrams import Sender
 from chicorycart.steering.directory import Directory
-from chicorycart.steering.directory import VanishedTarget
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.limits import ENDED_PROBE_SECONDS
 from chicorycart.steering.limits import LEAVING_PROBE_SECONDS
@@ -18,6 +17,7 @@
 from chicorycart.steering.limits import PROBE_INTERVAL_SECONDS
 from chicorycart.steering.messages import encode_probe_answer
 from chicorycart.steering.messages import TargetLoad
+from chicorycart.steering.vanished_targets import VanishedTarget
 
 
 class LoadSource(Protocol):
@@ -81,7 +81,7 @@
         now = self.health.clock.now()
         due = [
             vanished
-            for vanished in self.directory.list_drained()
+            for vanished in self.directory.vanished.list_drained()
             if now - vanished.probed_at >= find_probe_interval(vanished)
         ]
         if due:
@@ -100,7 +100,7 @@
         agent = vanished.target.agent
         if self.health.was_heard_since(agent, vanished.probed_at):
             if not vanished.questions:
-                self.directory.record_heard(vanished)
+                self.directory.vanished.record_heard(vanished)
             vanished.unanswered_probes = 0
         elif vanished.control is not None and self.health.was_heard_since(
             vanished.control, vanished.probed_at
@@ -109,7 +109,7 @@
         now = self.health.clock.now()
         reason = find_end_reason(vanished, now)
         if reason is not None and not vanished.has_ended:
-            self.directory.record_end(vanished, reason)
+            self.directory.vanished.record_end(vanished, reason)
             if vanished.unanswered_probes:
                 # Its agent's next word shows that the host may live.
                 vanished.questions = 0
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -192,11 +192,11 @@
         In that case the others are asked before the flow is reset, since its
         caller may have used the five-tuple for another flow.
         """
-        if self.directory.has_ended(state.agent):
+        if self.directory.vanished.has_ended(state.agent):
             state.non_owners.add(state.agent)
             self.lose_owner(state, segment, state.agent)
             return
-        if self.directory.is_leaving(state.agent):
+        if self.directory.vanished.is_leaving(state.agent):
             self.undecided.keep(segment)
         self.output.count("forwarded")
         self.output.deliver(state, segment.raw, [state.agent])
@@ -209,7 +209,7 @@
         self.held.set_probe(segment)
         if segment.has_contents:
             for agent in agents:
-                self.directory.record_question(agent)
+                self.directory.vanished.record_question(agent)
         if all(map(self.health.is_suspended, agents)):
             self.parked.put_data(segment, state)
         if self.candidates.depends_on_leaving(state):
@@ -410,9 +410,9 @@
 
     def retry_confirmed(self, state: SteeredFlow, segment: Segment) -> None:
         """Reset a flow if its leaving host has ended."""
-        if self.directory.has_ended(state.agent):
+        if self.directory.vanished.has_ended(state.agent):
             self.reset(segment, "its host has ended")
-        elif not self.directory.is_leaving(state.agent):
+        elif not self.directory.vanished.is_leaving(state.agent):
             self.undecided.drop(state.flow)
 
     def retry(self, state: SteeredFlow, segment: Segment) -> None:
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -102,7 +102,7 @@
     def handle_report(self, body: bytes, source: Address) -> None:
         """Handle an agent's report that its host holds a flow."""
         report = decode_report(body)
-        self.search.directory.record_answer(source)
+        self.search.directory.vanished.record_answer(source)
         self.health.record_answer(source, report.load)
         state = self.output.flows.find(report.flow)
         if state is None:
@@ -131,7 +131,7 @@
     def handle_return(self, body: bytes, source: Address) -> None:
         """Handle a packet that an agent returned undelivered."""
         header, packet = decode_return(body)
-        self.search.directory.record_answer(source)
+        self.search.directory.vanished.record_answer(source)
         segment = self.codec.decode_inbound(packet)
         self.output.count(f"returned {header.reason}")
         self.update_health(header, source)
--- a/tests/steering/targets_steps.py
+++ b/tests/steering/targets_steps.py
@@ -201,7 +201,7 @@
 @then("the entry is counted as unused")
 def check_unused(context):
     for balancer in context.fleet.balancers.values():
-        assert list(balancer.directory.unused) == [PROGRAM]
+        assert list(balancer.directory.unused.by_name) == [PROGRAM]
 
 
 @when(
@@ -218,7 +218,7 @@
 
     context.run(list_host())
     assert "h9" not in get_directory(context).members
-    assert "h9" in get_directory(context).unused
+    assert "h9" in get_directory(context).unused.by_name
     fleet.configure(2, {ENTRY: SERVICE, OTHER_ENTRY: service})
 
 
@@ -485,7 +485,7 @@
         # The history is read for flows that no listed host holds.
         assert all(context.run(ask_open_flows(context)))
         agent = fleet.agents[name].settings.link
-        assert fleet.balancers[balancer].directory.is_leaving(agent)
+        assert fleet.balancers[balancer].directory.vanished.is_leaving(agent)
 
     restore(context, leave)
     wait(context, 1.0)
@@ -655,7 +655,7 @@
 
 @then("the balancer remembers at most {count:d} removed names")
 def check_removed(context, count):
-    assert 0 < len(get_directory(context).removed_revisions) <= count
+    assert 0 < len(get_directory(context).former.removed_revisions) <= count
 
 
 @when("{count:d} hosts drain and leave")
@@ -680,4 +680,4 @@
 
 @then("the balancer remembers at most {count:d} drained names")
 def check_drained(context, count):
-    assert 0 < len(get_directory(context).retired_incarnations) <= count
+    assert 0 < len(get_directory(context).former.retired_incarnations) <= count
