Flows of a service that left the configuration are found by new balancers

Cause: `Directory.find_fault` sets an entry aside whose service no configuration has named since the process began, so that entries of other programs name no host. A process that starts after a service has left cannot tell its hosts from such entries. The search took the list of targets that remained for complete. The same held for hosts that vanished or drained before the start: `HistoryCheck.screen` drops them from the store's history.

Why this works: what an entry names and who may hold a flow are two questions. An entry of an unconfigured service still names no target and gets no new flows. It does count as a possible owner of open flows, after all others, for balancers that may have missed a version (as before for configured services without a route), also if it vanished or drained. Its agent answers for the host. Where nothing has ever answered for 2.5 s of probes, the entry counts as that of another program, until any word from there; a target that was heard is never given up by silence unless it drains. Each probe counts only if a listed target answered meanwhile.

Tests: ten scenarios of entry_services.feature; nine of them failed before.

Price: none while every entry's service is configured. An entry where nothing answers costs 17 probes in 2.5 s, then one a second, and delays the resets of flows that no host holds by these 2.5 s. With 1,000 hosts of a service that left, of 38,000, that is 2.6 % more questions for such a flow.

--- a/chicorycart/steering/candidates.py
+++ b/chicorycart/steering/candidates.py
@@ -129,6 +129,7 @@
             and entry in follower.routes.current.by_entry
             and not follower.knows_all_services()
         ):
+            self.directory.unconfigured.admit()
             for service in list_services_with_targets(self.directory, known):
                 owners += self.rank_services(state.flow, [service], asked)
                 if len(owners) >= RANKED_TARGETS:
@@ -198,10 +199,10 @@
             owners.popleft()
         return bool(owners)
 
-    def depends_on_leaving(self, state: SteeredFlow) -> bool:
-        """Tell whether only leaving targets may still hold a flow."""
+    def depends_on_probes(self, state: SteeredFlow) -> bool:
+        """Tell whether only targets that may end may still hold a flow."""
         agents = state.candidates or [state.agent]
-        return all(map(self.directory.vanished.is_leaving, agents))
+        return all(map(self.directory.vanished.may_end, agents))
 
     def drop_gone(self, state: SteeredFlow) -> None:
         """Remove the candidates of a flow that hold no flows any more."""
--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -18,6 +18,7 @@
 from chicorycart.steering.published import ENTRY_REMOVED
 from chicorycart.steering.published import Listing
 from chicorycart.steering.published import ListingChange
+from chicorycart.steering.unconfigured import UnconfiguredHosts
 from chicorycart.steering.unused_entries import UnusedEntries
 from chicorycart.steering.vanished_targets import VanishedTargets
 
@@ -34,7 +35,9 @@
     removed, so the target counts as leaving until its agent is silent.
 
     Other processes write entries too. One of a service that is not configured
-    names no target, whatever address it has.
+    names no target, whatever address it has. It may also be the entry of a
+    host whose service has left the configuration, so it is asked for open
+    flows once no other target holds them.
 
     Parameters
     ----------
@@ -57,6 +60,8 @@
         Targets that vanished and may be alive.
     unused : UnusedEntries
         Entries in the store that name no target.
+    unconfigured : UnconfiguredHosts
+        Finds those of them that may be hosts with open flows.
     configured_services : set of str
         Names of the services that a configuration has named so far.
     listed_changes : int
@@ -76,6 +81,7 @@
         "by_agent_host",
         "vanished",
         "unused",
+        "unconfigured",
         "configured_services",
         "listed_changes",
         "observe_listed",
@@ -99,6 +105,9 @@
         self.by_agent_host: dict[str, Member] = {}
         self.vanished = VanishedTargets(clock, flow_ttl_seconds)
         self.unused = UnusedEntries(self.events)
+        self.unconfigured = UnconfiguredHosts(
+            self.unused, self.vanished, self.by_agent_host, agent_port
+        )
         self.configured_services: set[str] = set()
         self.listed_changes = 0
         self.observe_listed: Callable[[Member, Member | None], None] | None = (
@@ -135,16 +144,17 @@
         self.former.removed_revisions.clear()
         if is_restored:
             self.former.copied_revision = revision
+            self.unconfigured.admit()
             self.unused.clear()
             for member in self.members.values():
                 member.revision = 0
-            changes = [c for c in changes if not self.is_outdated(c)]
+            changes = self.former.drop_outdated(changes, self.members)
         present = {change.name for change in changes}
         for change in changes:
             self.apply(change)
         for name in [n for n in self.members if n not in present]:
             self.remove(name, revision, "missing from the store")
-        self.unused.keep_only(present)
+        self.unconfigured.discard_missing(present)
 
     def apply(self, change: ListingChange) -> None:
         """Apply one changed entry, unless a later revision was applied."""
@@ -162,7 +172,7 @@
             return
         self.remove(change.name, change.revision, reason)
         if reason == ENTRY_REMOVED:
-            self.unused.discard(change.name)
+            self.unconfigured.discard_entry(change.name)
         else:
             self.unused.record(
                 change.name, change.revision, reason, change.listing
@@ -189,14 +199,6 @@
             listing = entry.listing
             self.apply(ListingChange(listing.name, entry.revision, listing))
 
-    def is_outdated(self, change: ListingChange) -> bool:
-        """Tell whether an entry is of an earlier start than the known one."""
-        if change.listing is None:
-            return False
-        known = self.members.get(change.name)
-        latest = known.listing.incarnation if known is not None else 0
-        return self.former.is_outdated(change.listing, latest)
-
     def put(self, listing: Listing, revision: int) -> None:
         """Add a target, or replace it by its changed entry."""
         self.unused.discard(listing.name)
@@ -214,10 +216,9 @@
         target = make_target(listing, self.agent_port)
         agent = target.agent
         member = Member(target, listing, revision)
-        if known is not None:
-            member.took_over_address = known.took_over_address
-        else:
-            member.took_over_address = other is not None
+        member.took_over_address = (
+            known.took_over_address if known is not None else other is not None
+        )
         self.members[listing.name] = member
         self.services.setdefault(listing.service, {})[listing.name] = member
         self.by_agent_host[agent.host] = member
@@ -339,11 +340,7 @@
         return self.is_known(agent.host) and not self.vanished.has_ended(agent)
 
     def is_known(self, host: str) -> bool:
-        """Tell whether messages from this IP address are accepted.
-
-        They are those of agents of listed targets and of targets that
-        vanished lately.
-        """
+        """Tell whether this is the IP address of a known agent."""
         return (
             host in self.by_agent_host
             or self.vanished.find(Address(host, self.agent_port)) is not None
--- a/chicorycart/steering/former_entries.py
+++ b/chicorycart/steering/former_entries.py
@@ -1,11 +1,14 @@
 """Entries of hosts that were removed, or of starts that have ended."""
 
 from collections import OrderedDict
+from collections.abc import Mapping
 from copy import copy
 
 from chicorycart.steering.limits import MAX_REMOVED
+from chicorycart.steering.members import Member
 from chicorycart.steering.published import ListedState
 from chicorycart.steering.published import Listing
+from chicorycart.steering.published import ListingChange
 
 
 class FormerEntries:
@@ -61,18 +64,40 @@
         if len(self.retired_incarnations) > MAX_REMOVED:
             self.retired_incarnations.popitem(last=False)
 
-    def is_outdated(self, listing: Listing, latest: int) -> bool:
-        """Tell whether an entry is of an earlier start than the last one.
+    def drop_outdated(
+        self, changes: list[ListingChange], known: Mapping[str, Member]
+    ) -> list[ListingChange]:
+        """Return the entries that are not of an earlier start than known.
 
         Parameters
         ----------
-        listing : Listing
-            The entry.
-        latest : int
-            Incarnation of the listed target of this name; 0 if there is none.
+        changes : list of ListingChange
+            The entries of a copy.
+        known : Mapping of str to Member
+            The listed targets by name.
         """
-        retired = self.retired_incarnations.get(listing.name, 0)
-        return 0 < listing.incarnation < max(latest, retired)
+        return [
+            change
+            for change in changes
+            if not self.is_outdated(change, known.get(change.name))
+        ]
+
+    def is_outdated(self, change: ListingChange, known: Member | None) -> bool:
+        """Tell whether an entry is of an earlier start than the known one.
+
+        Parameters
+        ----------
+        change : ListingChange
+            The changed entry.
+        known : Member or None
+            The target of this name.
+        """
+        if change.listing is None:
+            return False
+        latest = self.retired_incarnations.get(change.name, 0)
+        if known is not None:
+            latest = max(latest, known.listing.incarnation)
+        return 0 < change.listing.incarnation < latest
 
     def is_retired(self, listing: Listing) -> bool:
         """Tell whether this incarnation of a target drained or ended."""
--- a/chicorycart/steering/history.py
+++ b/chicorycart/steering/history.py
@@ -16,6 +16,7 @@
 from chicorycart.steering.limits import GATHER_SECONDS
 from chicorycart.steering.published import ListingChange
 from chicorycart.steering.published import PublishedStore
+from chicorycart.steering.vanished_hosts import find_last_entries
 from chicorycart.steering.vanished_hosts import find_vanished_hosts
 from chicorycart.steering.vanished_hosts import is_full_restart
 from chicorycart.steering.vanished_hosts import VanishedHosts
@@ -136,6 +137,7 @@
             self.directory.record_vanished(listing)
         for listing in vanished.leaving:
             self.directory.record_vanished(listing, was_draining=True)
+        self.record_unconfigured(history.changes)
         LOGGER.info(
             "event=history_read after={} revision={} changes={} absent={}"
             " leaving={} unknown={} complete={}",
@@ -148,6 +150,19 @@
             follower.is_proven_complete,
         )
 
+    def record_unconfigured(self, changes: list[ListingChange]) -> None:
+        """Record the unlisted hosts of services that are not configured."""
+        directory = self.directory
+        directory.unconfigured.admit()
+        for name, listing in find_last_entries(changes).items():
+            if (
+                listing is not None
+                and listing.service not in directory.configured_services
+                and name not in directory.members
+                and name not in directory.unused.by_name
+            ):
+                directory.unconfigured.record_removed(listing)
+
     def screen(self, change: ListingChange) -> ListingChange:
         """Return a change, without its entry if that names no target."""
         reason = self.directory.find_fault(change)
--- a/chicorycart/steering/limits.py
+++ b/chicorycart/steering/limits.py
@@ -148,6 +148,12 @@
 """The same for a target that was never heard, known from the store's history
 alone: 0.45 s, in which callers of flows that ended are not reset."""
 
+MAX_UNANSWERED_UNCONFIGURED_PROBES = 17
+"""The same for a listed host of a service that no configuration names: 2.5 s,
+RELISTING_SECONDS, since its agent may restart or be out of reach. Entries of
+other programs, where no agent answers, delay the resets of flows that no host
+holds for that long after a balancer starts."""
+
 LEAVING_SILENCE_SECONDS = 1.0
 MIN_UNANSWERED_QUESTIONS = 3
 """Time, and packets of searches in a row, without an answer after which the
--- a/chicorycart/steering/probes.py
+++ b/chicorycart/steering/probes.py
@@ -13,6 +13,7 @@
 from chicorycart.steering.limits import LEAVING_SILENCE_SECONDS
 from chicorycart.steering.limits import MAX_UNANSWERED_FIRST_PROBES
 from chicorycart.steering.limits import MAX_UNANSWERED_PROBES
+from chicorycart.steering.limits import MAX_UNANSWERED_UNCONFIGURED_PROBES
 from chicorycart.steering.limits import MIN_UNANSWERED_QUESTIONS
 from chicorycart.steering.limits import PROBE_INTERVAL_SECONDS
 from chicorycart.steering.messages import encode_probe_answer
@@ -81,18 +82,18 @@
         now = self.health.clock.now()
         due = [
             vanished
-            for vanished in self.directory.vanished.list_drained()
+            for vanished in self.directory.vanished.list_probed()
             if now - vanished.probed_at >= find_probe_interval(vanished)
         ]
         if due:
             control = self.probe_control()
             for vanished in due:
-                self.probe_drained(vanished, control)
+                self.probe_vanished(vanished, control)
 
-    def probe_drained(
+    def probe_vanished(
         self, vanished: VanishedTarget, control: Address | None
     ) -> None:
-        """Probe a target that vanished while draining.
+        """Probe a target whose silence proves that it holds no flows.
 
         An unanswered probe counts only if that of the control was answered:
         otherwise the own link may have lost both.
@@ -134,11 +135,15 @@
 
 
 def find_end_reason(vanished: VanishedTarget, now: float) -> str | None:
-    """Return why the host of a leaving target has ended; None if it may live.
+    """Return why the host of a probed target has ended; None if it may live.
 
-    A target that was never heard needs fewer probes: the history names all
-    that left in the last seconds, most of which have ended.
+    A leaving target that was never heard needs fewer probes: the history names
+    all that left in the last seconds, most of which have ended.
     """
+    if not vanished.was_draining:
+        limit = MAX_UNANSWERED_UNCONFIGURED_PROBES
+        is_absent = vanished.unanswered_probes >= limit
+        return "no agent answers" if is_absent else None
     limit = (
         MAX_UNANSWERED_PROBES
         if vanished.was_heard
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -212,7 +212,7 @@
                 self.directory.vanished.record_question(agent)
         if all(map(self.health.is_suspended, agents)):
             self.parked.put_data(segment, state)
-        if self.candidates.depends_on_leaving(state):
+        if self.candidates.depends_on_probes(state):
             self.undecided.keep(segment)
         self.output.count("forwarded")
         self.output.ask(state, segment.raw, agents, asks_owner=True)
@@ -255,7 +255,7 @@
                 self.ask_next(state, segment, agent)
             elif len(state.candidates) == 1:
                 self.send_waiting(state)
-            if state.candidates and self.candidates.depends_on_leaving(state):
+            if state.candidates and self.candidates.depends_on_probes(state):
                 probe = self.held.find(state.flow).probe
                 self.undecided.keep(probe or segment)
         elif agent == state.agent and not state.candidates:
@@ -422,7 +422,7 @@
         if state.candidates:
             return
         if self.add_and_ask(state, segment, state.agent):
-            if not self.candidates.depends_on_leaving(state):
+            if not self.candidates.depends_on_probes(state):
                 self.undecided.drop(state.flow)
         elif was_asked or self.output.follower.knows_all_targets(
             state.arrived_at
--- a/chicorycart/steering/unused_entries.py
+++ b/chicorycart/steering/unused_entries.py
@@ -66,14 +66,13 @@
                 revision,
             )
 
-    def discard(self, name: str) -> None:
-        """Forget an entry, if it is known."""
-        self.by_name.pop(name, None)
-
-    def keep_only(self, names: Container[str]) -> None:
-        """Forget all entries but some."""
-        for name in [n for n in self.by_name if n not in names]:
-            del self.by_name[name]
+    def discard(self, name: str) -> UnusedEntry | None:
+        """Forget an entry and return it, if it was known."""
+        return self.by_name.pop(name, None)
+
+    def list_missing(self, present: Container[str]) -> list[str]:
+        """Return the names of the entries that are not among some."""
+        return [name for name in self.by_name if name not in present]
 
     def clear(self) -> None:
         """Forget all entries."""
--- a/chicorycart/steering/vanished_targets.py
+++ b/chicorycart/steering/vanished_targets.py
@@ -1,4 +1,4 @@
-"""Targets that are not listed any more, but whose hosts may be alive."""
+"""Targets that get no new flows, but whose hosts may hold open ones."""
 
 from collections.abc import Iterable
 
@@ -15,6 +15,9 @@
 class VanishedTarget:
     """A target that is not listed any more, but whose host may be alive.
 
+    A host of a service that no known configuration names counts as one too:
+    its service may have left the configuration while it holds flows.
+
     Attributes
     ----------
     target : Target
@@ -28,6 +31,9 @@
         that its silence proves that it has.
     has_ended : bool
         Whether that was proved; any word of it disproves it.
+    is_unconfigured : bool
+        Whether no known configuration names its service. Its entry may be one
+        of another program then, and nothing at its address an agent.
     was_heard : bool
         Whether its agent was heard since it is known that it vanished, or
         was known before.
@@ -49,6 +55,7 @@
         "listing",
         "expires_at",
         "was_draining",
+        "is_unconfigured",
         "has_ended",
         "was_heard",
         "unanswered_probes",
@@ -71,6 +78,7 @@
         self.listing = listing
         self.expires_at = expires_at
         self.was_draining = was_draining
+        self.is_unconfigured = False
         self.has_ended = False
         self.was_heard = was_heard
         self.unanswered_probes = 0
@@ -84,6 +92,13 @@
         """Whether its host may still end its work."""
         return self.was_draining and not self.has_ended
 
+    @property
+    def is_probed(self) -> bool:
+        """Whether probes decide if its host may hold flows."""
+        return self.was_draining or (
+            self.is_unconfigured and not self.was_heard
+        )
+
     @property
     def is_silent(self) -> bool:
         """Whether its agent is not expected to answer at once."""
@@ -144,11 +159,34 @@
         known = self.by_agent.get(agent)
         if (
             known is not None
+            and not known.is_unconfigured
             and listing.incarnation <= known.listing.incarnation
         ):
             return
+        self.add(target, listing, was_draining, was_heard)
+
+    def record_unconfigured(self, target: Target, listing: Listing) -> None:
+        """Record a host whose service no known configuration names.
+
+        It displaces no other target of its agent.
+        """
+        known = self.by_agent.get(target.agent)
+        if known is None:
+            added = self.add(target, listing, False, was_heard=False)
+            added.is_unconfigured = True
+        elif known.is_unconfigured:
+            known.expires_at = self.clock.now() + self.flow_ttl_seconds
+
+    def add(
+        self,
+        target: Target,
+        listing: Listing,
+        was_draining: bool,
+        was_heard: bool,
+    ) -> VanishedTarget:
+        """Add a target, in place of a former one of its agent."""
         now = self.clock.now()
-        self.by_agent[agent] = VanishedTarget(
+        added = VanishedTarget(
             target,
             listing,
             now + self.flow_ttl_seconds,
@@ -156,7 +194,9 @@
             was_heard,
             now,
         )
+        self.by_agent[target.agent] = added
         self.changes += 1
+        return added
 
     def find(self, agent: Address) -> VanishedTarget | None:
         """Return the vanished target of an agent, if there is one."""
@@ -183,9 +223,18 @@
             if vanished.listing.service == service and not vanished.has_ended
         ]
 
-    def list_drained(self) -> list[VanishedTarget]:
-        """Return the targets that vanished while draining."""
-        return [v for v in self.by_agent.values() if v.was_draining]
+    def list_probed(self) -> list[VanishedTarget]:
+        """Return the targets whose silence proves that they hold no flows."""
+        return [v for v in self.by_agent.values() if v.is_probed]
+
+    def may_end(self, agent: Address) -> bool:
+        """Tell whether probes may still prove that a host holds no flows."""
+        vanished = self.by_agent.get(agent)
+        return (
+            vanished is not None
+            and vanished.is_probed
+            and not vanished.has_ended
+        )
 
     def is_leaving(self, agent: Address) -> bool:
         """Tell whether an agent's host may live on after its entry's end."""
--- a/tests/steering/entry_services.feature
+++ b/tests/steering/entry_services.feature
@@ -162,6 +162,44 @@
       | vanish | is replaced       |
       | vanish | forgets its flows |
 
+  # A balancer that started after a service had left took its hosts for no
+  # targets and reset the flows that they held.
+  Scenario Outline: Flows of a service that left the configuration are found by a balancer that starts later: <case>
+    Given a fleet of 6 hosts and 1 balancers
+    And 4 hosts of service "catalogue"
+    And the route leads to "catalogue 1"
+    And 24 open flows
+    When the route leads to "dispatch 1" and no other service is configured
+    And <meanwhile>
+    And balancer "b1" is replaced
+    And <later>
+    Then every open flow gets an answer from its host
+    And no caller was reset
+    And 12 new flows are opened on hosts of "dispatch"
+
+    Examples: Before and after the restart of the balancer
+      | case                | meanwhile                                                | later                                                    |
+      | at once             | 0 ms pass                                                | 0 ms pass                                                |
+      | history discarded   | the store forgets its history                            | 0 ms pass                                                |
+      | entries written     | the hosts of "catalogue" write their entries again       | the hosts of "catalogue" write their entries again       |
+      | drained before      | the hosts of "catalogue" drain and their entries are removed | 0 ms pass                                            |
+      | vanished before     | the hosts of "catalogue" vanish and their entries are removed | 0 ms pass                                           |
+      | drained after       | the store forgets its history                            | the hosts of "catalogue" drain and their entries are removed  |
+      | vanished after      | the store forgets its history                            | the hosts of "catalogue" vanish and their entries are removed |
+      | other program there | an entry of another program is written for each machine of "catalogue" | 0 ms pass                                  |
+      | agents restart      | the store forgets its history                            | the agents of "catalogue" are down for 0.7 s while the callers ask |
+
+  # An entry of another program may name a machine that never answers.
+  Scenario: Flows that no host holds are reset soon although entries of no configured service never answer
+    Given a fleet of 6 hosts and 1 balancers
+    And the route leads to "dispatch 1" and no other service is configured
+    And 12 open flows
+    When 3 entries of other programs name machines that never answer
+    And the store forgets its history
+    And balancer "b1" is replaced
+    And every host loses its flows
+    Then every caller is reset within 4 s, and the next ones within 0.5 s
+
   Scenario: Packets of a flow whose route was dropped go nowhere
     Given a fleet of 6 hosts and 1 balancers
     And 4 hosts of service "catalogue"
--- a/tests/steering/entry_services_model.py
+++ b/tests/steering/entry_services_model.py
@@ -209,7 +209,6 @@
     if not rules.knows_age:
         follower.services.gap_at = -float(TTL_SECONDS + 1)
         follower.reachable_since = -float(TTL_SECONDS + 1)
-    directory.add_services(SERVICES)
     for number, service in enumerate(SERVICES):
         name = f"host-{number}"
         address = Address(f"10.2.0.{number + 1}", HOST_PORT)
--- a/tests/steering/entry_services_steps.py
+++ b/tests/steering/entry_services_steps.py
@@ -11,6 +11,7 @@
 from behave import then
 from behave import when
 
+from chicorycart.address import Address
 from chicorycart.operation.stopping import wait_until
 from chicorycart.packets.flow import hash_flow
 from chicorycart.placement.chain import bucket_of
@@ -18,10 +19,12 @@
 from chicorycart.platform.segments import ACK
 from chicorycart.steering import choice
 from chicorycart.steering.published import ListedState
+from chicorycart.steering.published import Listing
 from chicorycart.steering.routes import Route
 from chicorycart.steering.routes import RouteTable
 from tests.standins.deliveries import DeliveryLog
 from tests.standins.endpoints import ENTRY
+from tests.standins.steered import DOMAIN
 from tests.standins.steered import make_entry
 from tests.standins.steered import OTHER_SERVICE
 from tests.standins.steered import SERVICE
@@ -33,6 +36,9 @@
 RESET_SECONDS = 5.0
 REQUEST_SECONDS = 0.1
 FIRST_TARGETS = 4
+PROGRAM = "exporter"
+PROGRAM_PORT = 9300
+PROGRAM_START = 9
 PORT = slice(5, 7)
 """The caller's port in a five-tuple."""
 
@@ -83,7 +89,7 @@
     context.run(change())
 
 
-@given('the route leads to "{split}" and no other service is configured')
+@step('the route leads to "{split}" and no other service is configured')
 def narrow_split(context, split):
     async def change():
         publish_split(context.fleet, split, ())
@@ -183,13 +189,103 @@
     assert follower.calls > context.calls
 
 
+def list_hosts(context, service):
+    """Return the names of the hosts of a service."""
+    agents = context.fleet.agents
+    return [n for n, a in agents.items() if a.settings.service == service]
+
+
+@when("the store forgets its history")
+def forget_history(context):
+    context.fleet.store.forget_history()
+    context.run(sleep(LEARN_SECONDS))
+
+
+@when('the hosts of "{service}" write their entries again')
+def write_again(context, service):
+    async def write():
+        for name in list_hosts(context, service):
+            context.fleet.list_host(name, service)
+        await sleep(LEARN_SECONDS)
+
+    context.run(write())
+
+
+@when('an entry of another program is written for each machine of "{service}"')
+def list_programs(context, service):
+    async def write():
+        for name in list_hosts(context, service):
+            address = context.fleet.hosts[name].address.host
+            put_program(context.fleet, f"program-{name}", address)
+        await sleep(LEARN_SECONDS)
+
+    context.run(write())
+
+
+@when("{count:d} entries of other programs name machines that never answer")
+def list_absent(context, count):
+    for number in range(count):
+        put_program(context.fleet, f"program-{number}", f"10.2.9.{number + 1}")
+
+
+def put_program(fleet, name, address):
+    """Write the entry of a program that is no host, as a host does."""
+    fleet.store.put(
+        Listing(
+            name,
+            PROGRAM,
+            Address(address, PROGRAM_PORT),
+            DOMAIN,
+            1,
+            ListedState.READY,
+            PROGRAM_START,
+            0.0,
+        )
+    )
+
+
+@when(
+    'the agents of "{service}" are down for {seconds:g} s while the callers'
+    " ask"
+)
+def restart_agents(context, service, seconds):
+    async def restart():
+        fleet = context.fleet
+        names = list_hosts(context, service)
+        for name in names:
+            fleet.kill_agent(name)
+        asking = create_task(ask_open_flows(context, seconds))
+        await sleep(seconds)
+        await asking
+        for name in names:
+            host = fleet.hosts[name].address.host
+            fleet.start_agent(name, host, service)
+        await sleep(LEARN_SECONDS)
+
+    context.run(restart())
+
+
+@then(
+    "every caller is reset within {first:g} s, and the next ones within"
+    " {later:g} s"
+)
+def check_reset_soon(context, first, later):
+    callers = [caller for caller, _ in context.flows]
+    half = len(callers) // 2
+    for group, seconds in ((callers[:half], first), (callers[half:], later)):
+
+        async def ask(group=group, seconds=seconds):
+            await gather(*(caller.ask(b"late", seconds) for caller in group))
+
+        context.run(ask())
+        assert [caller.resets for caller in group] == [1] * len(group)
+
+
 @when('the hosts of "{service}" {end} and their entries are removed')
 def remove_hosts(context, service, end):
     async def remove():
         fleet = context.fleet
-        names = [
-            n for n, a in fleet.agents.items() if a.settings.service == service
-        ]
+        names = list_hosts(context, service)
         if end == "drain":
             for name in names:
                 fleet.list_host(name, service, ListedState.DRAINING)
