Opening flows follow the routes in force until a host accepts them

Cause: the service of a flow was chosen once, by `FlowCache.add`, when its first opening packet came. A flow that no host has accepted went by that version for as long as it waited, was offered again or was copied by its caller: neither `FlowPlacer.open`, `place` and `queue` nor `Steerer.resume` and `offer_next` looked at the routes again. The waiting openings of the old service also held back those of their own flows alone, so that the idle hosts of the new service stayed idle for them.

Ruled out: a late reading of the store, as the same process had used the version; agents that held packets back, as agents keep none.

Why this works: the route is looked up wherever an opening packet is about to be offered, in one place (`OpeningRoutes`). When a version comes into force, all waiting openings are given their services and service levels at once, so that no turn sees the former ones, and those of dropped routes are reset. What the targets of the former service still answer starts no offer. A host of it that has accepted the flow already keeps it, if its caller takes that acceptance; but a copy of the caller is not sent there any more: a host that restarted would take it for a new flow.

The library's agents (`agent/opening.py`) wait for owner lookups, which end after fractions of a second; read, not changed.

No further packets or calls.

--- a/chicorycart/steering/balancer.py
+++ b/chicorycart/steering/balancer.py
@@ -119,6 +119,7 @@
         self.evacuation_report = EvacuationReport(
             self.evacuated, self.directory, self.flows
         )
+        self.follower.routes.listeners.append(self.steerer.update_waiting)
         self.evacuated.listeners.append(self.steerer.refuse_evacuated)
         self.evacuated.listeners.append(self.cold.handle_transition)
         for kind, handler in (
--- a/chicorycart/steering/flows.py
+++ b/chicorycart/steering/flows.py
@@ -168,6 +168,17 @@
         if segment.has_contents and not self.is_repetition(segment):
             self.last_sequence = segment.sequence
 
+    def change_service(self, service: str) -> None:
+        """Give a flow that no host has accepted to another service.
+
+        A host of the former one may still accept it; its agent stays known.
+        """
+        self.service = service
+        self.may_queue = False
+        self.tried.clear()
+        self.declined.clear()
+        self.stop_timer()
+
     def stop_timer(self) -> None:
         """Cancel the timer of an offered opening packet."""
         if self.timer is not None:
--- a/chicorycart/steering/hedging_placer.py
+++ b/chicorycart/steering/hedging_placer.py
@@ -94,6 +94,8 @@
         is_late = get_running_loop().time() - due > LATE_TIMER_SECONDS
         if is_late or state.timer is None or state.agent != hedge.first:
             return
+        if not self.routes.is_followed(state, segment):
+            return
         member = self.choice.choose(state.service, state.flow, state.tried)
         if member is None or not self.may_take_hedge(member):
             return
--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -5,9 +5,10 @@
 from chicorycart.address import Address
 from chicorycart.operation.metrics import Metrics
 from chicorycart.packets.segment import Segment
+from chicorycart.steering.acceptances import Acceptances
 from chicorycart.steering.choice import find_queue_limit
 from chicorycart.steering.choice import TargetChoice
-from chicorycart.steering.entry_services import record_owner
+from chicorycart.steering.entry_services import find_service
 from chicorycart.steering.flows import SteeredFlow
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.limits import LATE_TIMER_SECONDS
@@ -16,6 +17,7 @@
 from chicorycart.steering.members import Member
 from chicorycart.steering.messages import FlowReport
 from chicorycart.steering.messages import ReturnReason
+from chicorycart.steering.opening_routes import OpeningRoutes
 from chicorycart.steering.output import join_agents
 from chicorycart.steering.output import SteererOutput
 from chicorycart.steering.parked import ParkedPackets
@@ -45,9 +47,23 @@
         Sends packets.
     metrics : Metrics
         Registry of the placing-time histogram.
+
+    Attributes
+    ----------
+    routes : OpeningRoutes
+        Keeps the flows on the routes in force.
+    acceptances : Acceptances
+        Records which hosts accepted flows.
     """
 
-    __slots__ = ("choice", "health", "parked", "output", "answer_times")
+    __slots__ = (
+        "choice",
+        "health",
+        "parked",
+        "output",
+        "routes",
+        "acceptances",
+    )
 
     def __init__(
         self,
@@ -61,16 +77,15 @@
         self.health = health
         self.parked = parked
         self.output = output
-        self.answer_times = metrics.timings(
-            "chicorycart_balancer_placing_seconds",
-            "Time from the first offer of an opening packet to its placing.",
+        self.routes = OpeningRoutes(output)
+        self.acceptances = Acceptances(
+            choice.directory, health, parked, output, metrics
         )
 
     def open(self, segment: Segment) -> None:
         """Handle the opening packet of a new flow, or a retransmission."""
         output = self.output
-        routes = output.follower.routes.current
-        route = routes.by_entry.get(segment.entry)
+        route = self.routes.find(segment)
         if route is None:
             output.reset_flow(segment, "no route")
             return
@@ -80,9 +95,7 @@
             state.first_sequence = segment.sequence
             state.copies = segment.copies
             state.arrived_at = self.health.clock.now()
-        elif state.is_confirmed and not self.choice.is_agent_evacuated(
-            state.agent
-        ):
+        elif state.is_confirmed and self.may_repeat(state, segment):
             # The host accepted the flow, but its answer to the caller was
             # lost: the host answers the retransmission.
             cold = self.choice.cold.find_notice(state.agent)
@@ -94,10 +107,11 @@
             # Duplicated by the network, not retransmitted by the caller.
             output.count("repeated")
             return
-        # A host in an evacuated domain may have accepted it, but its answer
-        # was lost.
+        # A host in an evacuated domain, or of another service, may have
+        # accepted it, but its answer was lost.
         state.is_confirmed = False
         state.copies = segment.copies
+        self.routes.update(state, segment)
         if self.parked.is_waiting(state.flow):
             self.parked.put_opening(segment, state)
             output.count("parked")
@@ -110,6 +124,15 @@
             return
         self.place(state, segment)
 
+    def may_repeat(self, state: SteeredFlow, segment: Segment) -> bool:
+        """Tell whether the host that accepted a flow may get a copy.
+
+        A host that has restarted since would take it for a new flow.
+        """
+        return self.routes.is_followed(
+            state, segment
+        ) and not self.choice.is_agent_evacuated(state.agent)
+
     def place(
         self,
         state: SteeredFlow,
@@ -129,6 +152,8 @@
             flow is reset; if the targets only failed to answer, or are cold
             and at their limit, it waits.
         """
+        if not self.routes.update(state, segment):
+            return
         if self.choice.is_every_evacuated(state.service):
             self.output.reset_flow(segment, EVERY_TARGET_EVACUATED)
             return
@@ -263,37 +288,8 @@
     def handle_acceptance(
         self, state: SteeredFlow, report: FlowReport, agent: Address
     ) -> None:
-        """Record that a host accepted an opening flow.
-
-        If several hosts did, the acknowledgement number of the caller's
-        next packet shows which acceptance the caller received first.
-        """
-        if state.is_open and not state.has_acknowledged(report.sequence):
-            return
-        state.accepted[report.sequence] = agent
-        if state.is_confirmed and not state.is_open:
-            return
-        state.stop_timer()
-        self.parked.drop(state.flow)
-        record_owner(state, self.choice.directory, agent)
-        seconds = self.health.clock.now() - state.arrived_at
-        self.answer_times.observe(seconds)
-        self.output.record(
-            "flow_placed",
-            state.flow,
-            "service={} agent={} tried={} seconds={:.4f} load={}/{:.1f}/{}"
-            " work_ms={:.1f} median_ms={:.1f} failed={:.2f}",
-            state.service,
-            agent,
-            join_agents(state.tried),
-            seconds,
-            report.load.in_progress,
-            report.load.mean_in_progress,
-            report.load.flows,
-            report.load.work_ms,
-            self.health.times.find_median(state.service),
-            report.load.failed_share,
-        )
+        """Record that a host accepted an opening flow."""
+        self.acceptances.record(state, report, agent)
 
     def handle_return(
         self,
@@ -302,8 +298,16 @@
         reason: ReturnReason,
         agent: Address,
     ) -> None:
-        """Place an opening flow on another target after a return."""
-        if state.is_confirmed or state.agent != agent:
+        """Place an opening flow on another target after a return.
+
+        Nothing follows from that of a target whose service the flow has left.
+        """
+        service = find_service(self.choice.directory, agent)
+        if (
+            state.is_confirmed
+            or state.agent != agent
+            or service not in (None, state.service)
+        ):
             return
         state.stop_timer()
         if reason is ReturnReason.BUSY:
@@ -338,47 +342,9 @@
     def complete_opening(self, state: SteeredFlow, segment: Segment) -> bool:
         """Mark a flow open on the first packet after its opening.
 
-        The flow stays with the host whose acceptance the caller took.
-
         Returns
         -------
         bool
-            False if that is none of the hosts that reported an acceptance:
-            its report was lost, or the caller took a host to which another
-            balancer had offered the flow.
-        """
-        state.is_open = True
-        state.acknowledged = segment.acknowledged
-        state.stop_timer()
-        accepted = dict(state.accepted)
-        state.accepted.clear()
-        state.declined.clear()
-        if not accepted:
-            return True
-        for sequence, agent in accepted.items():
-            if state.has_acknowledged(sequence):
-                record_owner(state, self.choice.directory, agent)
-                return True
-        state.is_confirmed = False
-        silent = [a for a in state.tried if a not in accepted.values()]
-        if silent:
-            state.agent = silent[0]
-        return False
-
-    def find_with_room(self, agent: Address) -> Member | None:
-        """Return the target of an agent if it may accept another flow."""
-        member = self.choice.directory.find_by_host(agent.host)
-        if member is None or not self.choice.can_queue(member):
-            return None
-        return member
-
-    def can_resume(self, state: SteeredFlow) -> bool:
-        """Tell whether to place a waiting flow now.
-
-        That is so if its best target has room, and also if no target is
-        left at all, not even a closed one, so that the flow is reset at once.
+            Whether its host is known (`Acceptances.complete`).
         """
-        member = self.choose(state)
-        if member is None:
-            return not self.choice.has_closed(state.service)
-        return self.choice.can_queue(member)
+        return self.acceptances.complete(state, segment)
--- a/chicorycart/steering/routes.py
+++ b/chicorycart/steering/routes.py
@@ -1,5 +1,6 @@
 """Routes from entries to services."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -153,12 +154,15 @@
     ----------
     current : RouteTable
         The routes in force; their version never decreases.
+    listeners : list of callable
+        Called after each change of them.
     """
 
-    __slots__ = ("current",)
+    __slots__ = ("current", "listeners")
 
     def __init__(self):
         self.current: RouteTable = NO_ROUTES
+        self.listeners: list[Callable[[], None]] = []
 
     def activate(self, routes: RouteTable) -> None:
         """Put routes in force if their version is higher."""
@@ -171,3 +175,5 @@
             len(routes.by_entry),
         )
         self.current = routes
+        for listener in self.listeners:
+            listener()
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -181,6 +181,17 @@
                 else:
                     self.search.resume(state, segment)
 
+    def update_waiting(self) -> None:
+        """Let waiting openings follow the routes that came into force."""
+        for packet in list(self.parked.packets.values()):
+            segment = packet.segment
+            state = self.output.flows.find(segment.flow)
+            if state is None or not segment.is_opening or state.is_confirmed:
+                continue
+            self.parked.drop(segment.flow)
+            if self.placer.routes.update(state, segment):
+                self.parked.put_opening(segment, state)
+
     def refuse_evacuated(self, transition: Transition) -> None:
         """Refuse waiting openings at once if no other target is left."""
         if not transition.is_evacuated:
@@ -201,8 +212,8 @@
 
     def offer_next(self, agent: Address) -> None:
         """Offer the next waiting flow to an agent that reported its load."""
-        member = self.placer.find_with_room(agent)
-        if member is None:
+        member = self.search.directory.find_by_host(agent.host)
+        if member is None or not self.placer.choice.can_queue(member):
             return
         segment = self.parked.find_next(member.listing.service)
         while segment is not None:
@@ -216,9 +227,20 @@
     def can_resume(self, state: SteeredFlow, segment: Segment) -> bool:
         """Tell whether a waiting packet can be sent now."""
         if segment.is_opening:
-            return state.timer is None and self.placer.can_resume(state)
+            return state.timer is None and self.can_place(state)
         return self.search.can_resume(state)
 
+    def can_place(self, state: SteeredFlow) -> bool:
+        """Tell whether to place a waiting flow now.
+
+        That is so if its best target has room, and also if no target is
+        left at all, not even a closed one, so that the flow is reset at once.
+        """
+        member = self.placer.choose(state)
+        if member is None:
+            return not self.placer.choice.has_closed(state.service)
+        return self.placer.choice.can_queue(member)
+
     def expire(self, segment: Segment) -> None:
         """Give up a packet that waited too long, unless its flow is open."""
         state = self.output.flows.find(segment.flow)
--- a/tests/steering/entry_services_steps.py
+++ b/tests/steering/entry_services_steps.py
@@ -43,13 +43,18 @@
 """The caller's port in a five-tuple."""
 
 
-def publish_split(fleet, split, configured=(SERVICE, OTHER_SERVICE)):
-    """Publish the next version, in which the entry has these services."""
+def make_routes(fleet, split, configured=(SERVICE, OTHER_SERVICE)):
+    """Return the next version, in which the entry has these services."""
     pairs = (part.split() for part in split.split(",") if part)
     services = tuple((name, float(weight)) for name, weight in pairs)
     routes = [Route(make_entry(ENTRY), services)] if services else []
     version = fleet.store.routes[1].version + 1
-    fleet.store.configure(RouteTable(version, routes, services=configured))
+    return RouteTable(version, routes, services=configured)
+
+
+def publish_split(fleet, split, configured=(SERVICE, OTHER_SERVICE)):
+    """Publish the next version, in which the entry has these services."""
+    fleet.store.configure(make_routes(fleet, split, configured))
 
 
 def find_callers(context, service):
