A packet that was declined as another service's is asked again

What callers would see: a flow is reset although its live host holds it. Two cases, both new tests: an entry of another program names the machine of a host whose service has left the configuration, and is read before the host's; or a host took over the address of one of another service, and the balancer has not read that yet.

An agent declines a packet under another service's name without offering it to its host. `OwnerSearch.handle_return` counted that as a return by the host, for good.

Why this works: an agent that declines tells the service of its host and the one under which it was asked. The balancer then knows under which name to ask, and whether the question was put under an old one. Only the host's own return counts. Opening packets still go elsewhere: they must not reach a service that their route does not name.

Price: 16 bytes more in a return of this kind alone; the other returns keep their size. Agents of earlier versions tell no service: their returns count as before. Balancers of earlier versions pass over the new fields.

Returned packets have a module of their own (`returns.py`).

--- a/chicorycart/steering/directory.py
+++ b/chicorycart/steering/directory.py
@@ -35,9 +35,8 @@
     removed, so the target counts as leaving until its agent is silent.
 
     Other processes write entries too. One of a service that is not configured
-    names no target, whatever address it has. It may also be the entry of a
-    host whose service has left the configuration, so it is asked for open
-    flows once no other target holds them.
+    names no target, but it may be that of a host whose service has left the
+    configuration: it is asked for open flows that no target holds.
 
     Parameters
     ----------
@@ -64,6 +63,8 @@
         Finds those of them that may be hosts with open flows.
     configured_services : set of str
         Names of the services that a configuration has named so far.
+    told_services : dict of str to str
+        Services that agents told, by IP address, where entries name others.
     listed_changes : int
         Counts the changes of the list.
     observe_listed : callable or None
@@ -83,6 +84,7 @@
         "unused",
         "unconfigured",
         "configured_services",
+        "told_services",
         "listed_changes",
         "observe_listed",
         "events",
@@ -109,6 +111,7 @@
             self.unused, self.vanished, self.by_agent_host, agent_port
         )
         self.configured_services: set[str] = set()
+        self.told_services: dict[str, str] = {}
         self.listed_changes = 0
         self.observe_listed: Callable[[Member, Member | None], None] | None = (
             None
@@ -223,6 +226,7 @@
         self.services.setdefault(listing.service, {})[listing.name] = member
         self.by_agent_host[agent.host] = member
         self.vanished.discard(agent)
+        self.told_services.pop(agent.host, None)
         self.listed_changes += 1
         if self.observe_listed is not None:
             self.observe_listed(member, known)
@@ -316,10 +320,7 @@
         was_draining: bool = False,
         was_heard: bool = False,
     ) -> None:
-        """Record a host that may be alive although it is not listed.
-
-        The parameters are those of `VanishedTargets.record`.
-        """
+        """Record a host that may be alive; see `VanishedTargets.record`."""
         if listing.address.host in self.by_agent_host:
             return
         if was_draining:
--- a/chicorycart/steering/entry_services.py
+++ b/chicorycart/steering/entry_services.py
@@ -159,6 +159,9 @@
 
 def find_service(directory: Directory, agent: Address) -> str | None:
     """Return the service of an agent's host; None if it is not known."""
+    told = directory.told_services.get(agent.host)
+    if told is not None:
+        return told
     member = directory.find_by_host(agent.host)
     if member is not None:
         return member.listing.service
--- a/chicorycart/steering/evacuation_notices.py
+++ b/chicorycart/steering/evacuation_notices.py
@@ -18,9 +18,9 @@
 from chicorycart.steering.limits import EVACUATION_NOTICE_LIFE_SECONDS
 from chicorycart.steering.limits import EVACUATION_NOTICE_SECONDS
 from chicorycart.steering.limits import EVACUATION_NOTICES
-from chicorycart.steering.messages import clamp_position
-from chicorycart.steering.messages import ReturnHeader
 from chicorycart.steering.messages import SCHEMA
+from chicorycart.steering.returns import clamp_position
+from chicorycart.steering.returns import ReturnHeader
 
 LOGGER = Logger("evacuation")
 
--- a/chicorycart/steering/flows.py
+++ b/chicorycart/steering/flows.py
@@ -168,6 +168,12 @@
         if segment.has_contents and not self.is_repetition(segment):
             self.last_sequence = segment.sequence
 
+    def is_possible_owner(self, agent: Address) -> bool:
+        """Tell whether an agent was asked and did not return the flow."""
+        return agent in self.candidates or (
+            agent == self.agent and not self.candidates
+        )
+
     def change_service(self, service: str) -> None:
         """Give a flow that no host has accepted to another service.
 
--- a/chicorycart/steering/hedging_placer.py
+++ b/chicorycart/steering/hedging_placer.py
@@ -13,11 +13,11 @@
 from chicorycart.steering.limits import OPENING_TIMEOUT_SECONDS
 from chicorycart.steering.members import Member
 from chicorycart.steering.messages import FlowReport
-from chicorycart.steering.messages import ReturnReason
 from chicorycart.steering.opening_hedge import OpeningHedge
 from chicorycart.steering.output import SteererOutput
 from chicorycart.steering.parked import ParkedPackets
 from chicorycart.steering.placing import FlowPlacer
+from chicorycart.steering.returns import ReturnReason
 
 
 class HedgingPlacer(FlowPlacer):
--- a/chicorycart/steering/messages.capnp
+++ b/chicorycart/steering/messages.capnp
@@ -52,7 +52,8 @@
     notHeld @0;              # the host does not hold the flow
     refused @1;              # the host cannot accept an opening flow
     busy @2;                 # the limit of the delivery is reached
-    otherService @3;         # the host belongs to another service
+    otherService @3;         # the host belongs to another service; the
+                             # header is an OtherServiceHeader
     stopping @4;             # the agent or its host is about to end
     cold @5;                 # the host is cold and at its limit of openings
     evacuated @6;            # the host's failure domain is evacuated
@@ -66,3 +67,14 @@
   era @2 :Int64;             # position in the store at which this was known
   revision @3 :Int64;
 }
+
+struct OtherServiceHeader {
+  # A ReturnHeader with two fields more, which readers of one pass over.
+  reason @0 :ReturnHeader.Reason;
+  load @1 :TargetLoad;
+  retryMs @2 :UInt32;
+  era @3 :Int64;
+  revision @4 :Int64;
+  service @5 :UInt64;        # hash of the name of the host's service
+  asked @6 :UInt64;          # that of the delivery
+}
--- a/chicorycart/steering/messages.py
+++ b/chicorycart/steering/messages.py
@@ -1,6 +1,5 @@
 """Messages between balancers and agents about the flows of hosts."""
 
-from enum import StrEnum
 from functools import lru_cache
 from math import inf
 from pathlib import Path
@@ -17,9 +16,6 @@
 steps of 0.1 s."""
 
 FLOW_BYTES = 13
-MAX_POSITION = (1 << 63) - 1
-"""Largest era and revision that the schema's fields can hold."""
-
 MAX_COUNT = 65_535
 """Largest number of requests in progress that the schema's field can hold, and
 largest limit of openings a second."""
@@ -31,18 +27,6 @@
 """Cold time and limit in the header of a delivery to a warm host."""
 
 
-class ReturnReason(StrEnum):
-    """Why an agent returns a packet to a balancer."""
-
-    NOT_HELD = "notHeld"
-    REFUSED = "refused"
-    BUSY = "busy"
-    OTHER_SERVICE = "otherService"
-    STOPPING = "stopping"
-    COLD = "cold"
-    EVACUATED = "evacuated"
-
-
 class TargetLoad:
     """Load of one target as its agent measures it.
 
@@ -152,39 +136,6 @@
         self.load = load
 
 
-class ReturnHeader:
-    """Header of a caller's packet that an agent returns to a balancer.
-
-    Attributes
-    ----------
-    reason : ReturnReason
-        Why the packet is returned.
-    load : TargetLoad
-        Load of the agent's host.
-    retry_ms : int
-        Time in milliseconds until a cold host may get another opening.
-    era, revision : int
-        Position in the store of the notice by which the host's failure domain
-        is evacuated; 0 for any other reason.
-    """
-
-    __slots__ = ("reason", "load", "retry_ms", "era", "revision")
-
-    def __init__(
-        self,
-        reason: ReturnReason,
-        load: TargetLoad,
-        retry_ms: int = 0,
-        era: int = 0,
-        revision: int = 0,
-    ):
-        self.reason = reason
-        self.load = load
-        self.retry_ms = retry_ms
-        self.era = era
-        self.revision = revision
-
-
 @lru_cache(HEADER_CACHE_ENTRIES)
 def encode_delivery_header(
     service: int,
@@ -276,52 +227,6 @@
     return report
 
 
-def encode_return(
-    reason: ReturnReason,
-    load: TargetLoad,
-    packet: bytes,
-    retry_ms: int = 0,
-    era: int = 0,
-    revision: int = 0,
-) -> bytes:
-    """Encode a returned packet: its header, with its size, and the packet."""
-    message = SCHEMA.ReturnHeader.new_message(
-        reason=reason.value,
-        load=encode_load(load),
-        retryMs=retry_ms,
-        era=clamp_position(era),
-        revision=clamp_position(revision),
-    )
-    return prefix_size(message.to_bytes()) + packet
-
-
-def decode_return(body: bytes) -> tuple[ReturnHeader, bytes]:
-    """Decode a returned packet into its header and the caller's packet.
-
-    Raises
-    ------
-    SteeringMessageError
-        If the header is truncated or does not match the schema.
-    """
-    data, packet = split_body(body)
-    try:
-        with SCHEMA.ReturnHeader.from_bytes(data) as message:
-            reason = ReturnReason(str(message.reason))
-            header = ReturnHeader(
-                reason,
-                decode_load(message),
-                message.retryMs,
-                message.era,
-                message.revision,
-            )
-            return header, packet
-    except (capnp.KjException, RuntimeError, ValueError) as error:
-        # RuntimeError: a reason that only a later version knows.
-        raise SteeringMessageError(
-            "returned packet: the header is not a ReturnHeader message"
-        ) from error
-
-
 def encode_probe_answer(load: TargetLoad) -> bytes:
     """Encode the answer to a probe."""
     return SCHEMA.ProbeAnswer.new_message(load=encode_load(load)).to_bytes()
@@ -372,11 +277,6 @@
     )
 
 
-def clamp_position(number: int) -> int:
-    """Return an era or revision within what the schema's fields can hold."""
-    return max(0, min(number, MAX_POSITION))
-
-
 def prefix_size(header: bytes) -> bytes:
     """Return a header prefixed with its size."""
     return len(header).to_bytes(SIZE_BYTES, "big") + header
--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -8,7 +8,6 @@
 from chicorycart.steering.acceptances import Acceptances
 from chicorycart.steering.choice import find_queue_limit
 from chicorycart.steering.choice import TargetChoice
-from chicorycart.steering.entry_services import find_service
 from chicorycart.steering.flows import SteeredFlow
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.limits import LATE_TIMER_SECONDS
@@ -16,11 +15,11 @@
 from chicorycart.steering.limits import OPENING_TIMEOUT_SECONDS
 from chicorycart.steering.members import Member
 from chicorycart.steering.messages import FlowReport
-from chicorycart.steering.messages import ReturnReason
 from chicorycart.steering.opening_routes import OpeningRoutes
 from chicorycart.steering.output import join_agents
 from chicorycart.steering.output import SteererOutput
 from chicorycart.steering.parked import ParkedPackets
+from chicorycart.steering.returns import ReturnReason
 
 EVERY_TARGET_EVACUATED = "every target is evacuated"
 
@@ -302,12 +301,11 @@
 
         Nothing follows from that of a target whose service the flow has left.
         """
-        service = find_service(self.choice.directory, agent)
-        if (
-            state.is_confirmed
-            or state.agent != agent
-            or service not in (None, state.service)
-        ):
+        member = self.choice.directory.find_by_host(agent.host)
+        has_left = (
+            member is not None and member.listing.service != state.service
+        )
+        if state.is_confirmed or state.agent != agent or has_left:
             return
         state.stop_timer()
         if reason is ReturnReason.BUSY:
--- a/chicorycart/steering/relay.py
+++ b/chicorycart/steering/relay.py
@@ -22,9 +22,10 @@
 from chicorycart.steering.messages import DeliveryHeader
 from chicorycart.steering.messages import encode_probe_answer
 from chicorycart.steering.messages import encode_report
-from chicorycart.steering.messages import encode_return
 from chicorycart.steering.messages import FlowReport
-from chicorycart.steering.messages import ReturnReason
+from chicorycart.steering.returns import encode_other_service
+from chicorycart.steering.returns import encode_return
+from chicorycart.steering.returns import ReturnReason
 from chicorycart.units import MILLISECONDS
 
 NO_DOMAIN = ""
@@ -132,6 +133,9 @@
         """Handle a caller's packet that a balancer delivers."""
         header, packet = decode_delivery(body)
         segment = self.codec.decode_inbound(packet)
+        if header.service != self.service_id:
+            self.decline_service(packet, source, segment, header.service)
+            return
         reason = self.find_rejection_reason(header, segment)
         if reason is not None:
             self.return_packet(packet, source, reason, segment)
@@ -161,8 +165,6 @@
         Only opening packets are rejected for load, an evacuation, a stop, or
         a cold host.
         """
-        if header.service != self.service_id:
-            return ReturnReason.OTHER_SERVICE
         self.cold.record_notice(header.cold_ms, header.cold_per_second)
         if not segment.is_opening or segment.flow in self.flows.flows:
             return None
@@ -277,6 +279,29 @@
             self.codec.restore(segment), state.balancer, reason, segment
         )
 
+    def decline_service(
+        self, packet: bytes, balancer: Address, segment: Segment, asked: int
+    ) -> None:
+        """Return a packet of another service than the host's.
+
+        The host may hold its flow all the same, so the balancer is told the
+        service under which to ask.
+
+        Parameters
+        ----------
+        packet : bytes
+            The packet as it came.
+        balancer : Address
+            Balancer that sent it.
+        segment : Segment
+            The packet.
+        asked : int
+            Hash of the name of the service in the delivery.
+        """
+        load = self.flows.describe_load()
+        body = encode_other_service(load, packet, self.service_id, asked)
+        self.send_return(body, balancer, ReturnReason.OTHER_SERVICE, segment)
+
     def return_packet(
         self,
         packet: bytes,
@@ -289,13 +314,23 @@
         retry_ms = 0
         if reason is ReturnReason.COLD:
             retry_ms = ceil(self.cold.find_wait_seconds() * MILLISECONDS)
-        self.count(reason)
         era, revision = (
             self.evacuation.find_position()
             if reason is ReturnReason.EVACUATED
             else (0, 0)
         )
         body = encode_return(reason, load, packet, retry_ms, era, revision)
+        self.send_return(body, balancer, reason, segment)
+
+    def send_return(
+        self,
+        body: bytes,
+        balancer: Address,
+        reason: ReturnReason,
+        segment: Segment,
+    ) -> None:
+        """Send, count and log a returned packet."""
+        self.count(reason)
         self.sender.send(MessageKind.RETURN, body, balancer)
         self.events.record(
             "packet_returned",
@@ -304,8 +339,8 @@
             balancer,
             reason,
             segment.is_opening,
-            load.in_progress,
-            load.flows,
+            self.flows.in_progress,
+            len(self.flows),
         )
 
     def count(self, outcome: str) -> None:
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -265,6 +265,16 @@
         elif self.held.find(state.flow).mark_seen(segment):
             self.send_to_owner(state, segment)
 
+    def ask_again(
+        self, state: SteeredFlow, segment: Segment, agent: Address
+    ) -> None:
+        """Ask an agent once more that did not offer a packet to its host."""
+        if state.is_confirmed and state.agent == agent:
+            record_owner(state, self.directory, agent)
+        elif state.is_confirmed or not state.is_possible_owner(agent):
+            return
+        self.output.ask(state, segment.raw, [agent], asks_owner=True)
+
     def lose_owner(
         self, state: SteeredFlow, segment: Segment, agent: Address
     ) -> None:
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -14,13 +14,14 @@
 from chicorycart.steering.limits import RESUME_BATCH_PER_SERVICE
 from chicorycart.steering.messages import decode_probe_answer
 from chicorycart.steering.messages import decode_report
-from chicorycart.steering.messages import decode_return
-from chicorycart.steering.messages import ReturnHeader
-from chicorycart.steering.messages import ReturnReason
 from chicorycart.steering.output import SteererOutput
 from chicorycart.steering.parked import ParkedPackets
 from chicorycart.steering.placing import FlowPlacer
+from chicorycart.steering.returns import decode_return
+from chicorycart.steering.returns import ReturnHeader
+from chicorycart.steering.returns import ReturnReason
 from chicorycart.steering.searching import OwnerSearch
+from chicorycart.steering.served_services import ServedServices
 
 
 class Steerer:
@@ -52,6 +53,7 @@
         "parked",
         "output",
         "notifier",
+        "served",
         "late",
     )
 
@@ -72,6 +74,7 @@
         self.parked = parked
         self.output = output
         self.notifier = notifier
+        self.served = ServedServices(self.search.directory)
         self.late = LateOpenings(placer.choice, health)
 
     def handle_datagram(self, data: bytes, source: Address) -> None:
@@ -142,6 +145,8 @@
             return
         if segment.is_opening:
             self.placer.handle_return(state, segment, header.reason, source)
+        elif header.service and self.served.correct(source, header):
+            self.search.ask_again(state, segment, source)
         else:
             self.search.handle_return(state, segment, source)
 
--- a/tests/steering/entry_services.feature
+++ b/tests/steering/entry_services.feature
@@ -187,8 +187,24 @@
       | drained after       | the store forgets its history                            | the hosts of "catalogue" drain and their entries are removed  |
       | vanished after      | the store forgets its history                            | the hosts of "catalogue" vanish and their entries are removed |
       | other program there | an entry of another program is written for each machine of "catalogue" | 0 ms pass                                  |
+      | other program first | an entry of another program precedes that of each host of "catalogue" | 0 ms pass |
       | agents restart      | the store forgets its history                            | the agents of "catalogue" are down for 0.7 s while the callers ask |
 
+  # An agent that declined a packet as that of another service counted as one
+  # whose host had returned it.
+  Scenario: Flows are found at a host that took over an address of which their balancer has not learnt
+    Given a fleet of 3 hosts and 2 balancers
+    And 2 hosts of service "catalogue"
+    And the route leads to "catalogue 1"
+    When 3000 ms pass
+    And balancer "b2" has read the history and makes a pause of 9 s after the route leads to "catalogue 2"
+    And the address of "h1" goes to a host of "catalogue"
+    And 12 flows open through "b1"
+    And only balancer "b2" is in rotation
+    Then some flows are at the host that took over the address
+    And every open flow gets an answer from its host
+    And no caller was reset
+
   # An entry of another program may name a machine that never answers.
   Scenario: Flows that no host holds are reset soon although entries of no configured service never answer
     Given a fleet of 6 hosts and 1 balancers
--- a/tests/steering/entry_services_steps.py
+++ b/tests/steering/entry_services_steps.py
@@ -36,6 +36,7 @@
 RESET_SECONDS = 5.0
 REQUEST_SECONDS = 0.1
 FIRST_TARGETS = 4
+SUCCESSOR = "h90"
 PROGRAM = "exporter"
 PROGRAM_PORT = 9300
 PROGRAM_START = 9
@@ -227,6 +228,31 @@
     context.run(write())
 
 
+@when('an entry of another program precedes that of each host of "{service}"')
+def list_programs_first(context, service):
+    list_programs(context, service)
+    store = context.fleet.store
+    store.entries = dict(reversed(store.entries.items()))
+
+
+@when('the address of "{name}" goes to a host of "{service}"')
+def take_over_address(context, name, service):
+    async def take_over():
+        fleet = context.fleet
+        address = fleet.hosts[name].address.host
+        fleet.kill_agent(name)
+        fleet.add_host(SUCCESSOR, service, address)
+        fleet.store.remove(name)
+        await sleep(LEARN_SECONDS)
+
+    context.run(take_over())
+
+
+@then("some flows are at the host that took over the address")
+def check_taken_over(context):
+    assert any(name == SUCCESSOR for _, name in context.flows)
+
+
 @when("{count:d} entries of other programs name machines that never answer")
 def list_absent(context, count):
     for number in range(count):
--- a/tests/steering/flows_steps.py
+++ b/tests/steering/flows_steps.py
@@ -12,9 +12,9 @@
 from chicorycart.address import Address
 from chicorycart.links.datagrams import MessageKind
 from chicorycart.platform.segments import SYN
-from chicorycart.steering.messages import decode_return
 from chicorycart.steering.messages import encode_delivery_header
 from chicorycart.steering.published import ListedState
+from chicorycart.steering.returns import decode_return
 from tests.standins.endpoints import ENTRY
 from tests.standins.endpoints import make_head
 from tests.standins.steered import LINK_PORT
