Steering: decisions on unheld flows in a module of their own

The search for owners stays in searching.py; deciding.py resets flows that no host holds and keeps those that cannot be decided on yet.

--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -6,12 +6,12 @@
 from chicorycart.packets.segment import Segment
 from chicorycart.steering.candidates import CandidateChoice
 from chicorycart.steering.choice import TargetChoice
+from chicorycart.steering.deciding import FlowDecisions
 from chicorycart.steering.entry_services import record_owner
 from chicorycart.steering.flows import SteeredFlow
 from chicorycart.steering.health import HealthTable
 from chicorycart.steering.held import HeldPackets
 from chicorycart.steering.history import HistoryCheck
-from chicorycart.steering.limits import MAX_UNDECIDED_SECONDS
 from chicorycart.steering.limits import MIN_REPETITION_SECONDS
 from chicorycart.steering.output import join_agents
 from chicorycart.steering.output import SteererOutput
@@ -55,8 +55,9 @@
     held : HeldPackets
         Packets of the flows whose owners are searched for.
     undecided : UndecidedFlows
-        Flows that only unlisted targets may hold: leaving ones, or a live one
-        that is missing in the list.
+        Flows that only unlisted targets may hold.
+    decisions : FlowDecisions
+        Decides on flows that no known target seems to hold.
     """
 
     __slots__ = (
@@ -68,6 +69,7 @@
         "history",
         "held",
         "undecided",
+        "decisions",
     )
 
     def __init__(
@@ -86,6 +88,14 @@
         self.history = history
         self.held = HeldPackets()
         self.undecided = UndecidedFlows()
+        self.decisions = FlowDecisions(
+            self.candidates,
+            self.undecided,
+            output,
+            history,
+            self.add_and_ask,
+            self.forget,
+        )
 
     def begin(self, segment: Segment) -> SteeredFlow | None:
         """Start the search for the owner of an open flow.
@@ -138,7 +148,7 @@
         added = self.candidates.add(state, segment)
         if state.non_owners and not self.candidates.has_remaining(state):
             # If the last ones return it too, what decides is known by then.
-            self.request_history()
+            self.decisions.request_history()
             if added:
                 self.history.confirmation.request()
         return added
@@ -173,7 +183,7 @@
             self.output.count("held")
             return
         if not state.candidates and state.agent in state.non_owners:
-            self.give_up(state, segment)
+            self.decisions.give_up(state, segment)
             return
         self.ask(state, segment, state.candidates or [state.agent])
 
@@ -234,7 +244,7 @@
         unanswered = list(state.candidates)
         added = self.add_candidates(state, segment)
         # An owner that is not listed may be in the history.
-        self.request_history()
+        self.decisions.request_history()
         self.output.record(
             "flow_doubted",
             state.flow,
@@ -290,7 +300,7 @@
         if self.add_and_ask(state, segment, before):
             return
         if not state.candidates:
-            self.give_up(state, segment)
+            self.decisions.give_up(state, segment)
         elif len(state.candidates) == 1:
             self.send_waiting(state)
 
@@ -338,103 +348,3 @@
         for packet in self.held.take_waiting(state.flow):
             self.send_to_owner(state, packet)
         self.held.drop_packets(state.flow)
-
-    def give_up(self, state: SteeredFlow, segment: Segment) -> None:
-        """Reset a flow that no target holds, if that is certain.
-
-        A flow that its caller ends is left if not all targets were asked.
-        While the store can't be reached, and shortly after, the live owner
-        may be missing in the list of targets, and so may one that was listed
-        since the store's last answer. The flow is not reset then: its last
-        packet is kept, and the flow is decided on once the list is complete.
-        """
-        follower = self.output.follower
-        if self.candidates.has_unasked(state, segment.entry):
-            if segment.is_closing:
-                self.output.count("end unheld")
-                return
-            if self.add_and_ask(state, segment, state.agent):
-                return
-        if state.has_lost_owner or follower.knows_all_targets(
-            state.arrived_at
-        ):
-            self.reset(segment, "held by no target")
-            return
-        self.undecided.keep_until(segment, state.arrived_at)
-        self.request_certainty()
-        self.output.count("unheld")
-        self.output.record(
-            "flow_left",
-            state.flow,
-            "missed={} reason={!r}",
-            len(state.non_owners),
-            "not all targets may be listed yet",
-        )
-
-    def request_history(self) -> None:
-        """Have the history read, unless it was read already."""
-        if not self.output.follower.is_history_checked:
-            self.history.request_check()
-
-    def request_certainty(self) -> None:
-        """Have read what decides on flows that no known target holds."""
-        self.history.request_check()
-        if self.output.follower.is_list_complete():
-            self.history.confirmation.request()
-
-    def reset(self, segment: Segment, reason: str) -> None:
-        """Reset a flow that no target can hold."""
-        self.forget(segment.flow)
-        self.output.reset_flow(segment, reason)
-
-    def retry_undecided(self) -> None:
-        """Resume or reset undecided flows whose owners are known better.
-
-        That is so once the list of targets is complete or has changed, which
-        includes that leaving targets proved to have ended, or routes have.
-        """
-        follower = self.output.follower
-        if len(self.undecided) and not follower.knows_all_targets(
-            self.undecided.until
-        ):
-            self.request_certainty()
-        oldest = self.health.clock.now() - MAX_UNDECIDED_SECONDS
-        changes = (
-            self.directory.changes + follower.services.changes,
-            follower.is_list_complete(),
-            follower.known_until,
-        )
-        for segment in self.undecided.take_due(changes):
-            # FlowCache.find would keep the idle flow from being dropped.
-            state = self.output.flows.flows.get(segment.flow)
-            if (
-                state is None
-                or not state.is_open
-                or state.last_active_at < oldest
-            ):
-                self.undecided.drop(segment.flow)
-            elif state.is_confirmed:
-                self.retry_confirmed(state, segment)
-            else:
-                self.retry(state, segment)
-
-    def retry_confirmed(self, state: SteeredFlow, segment: Segment) -> None:
-        """Reset a flow if its leaving host has ended."""
-        if self.directory.vanished.has_ended(state.agent):
-            self.reset(segment, "its host has ended")
-        elif not self.directory.vanished.is_leaving(state.agent):
-            self.undecided.drop(state.flow)
-
-    def retry(self, state: SteeredFlow, segment: Segment) -> None:
-        """Resume or reset one undecided flow, if its owner is known better."""
-        was_asked = bool(state.candidates)
-        self.candidates.drop_gone(state)
-        if state.candidates:
-            return
-        if self.add_and_ask(state, segment, state.agent):
-            if not self.candidates.depends_on_probes(state):
-                self.undecided.drop(state.flow)
-        elif was_asked or self.output.follower.knows_all_targets(
-            state.arrived_at
-        ):
-            self.give_up(state, segment)
--- a/chicorycart/steering/steerer.py
+++ b/chicorycart/steering/steerer.py
@@ -164,7 +164,7 @@
 
         Of each service, only the first packets are looked at in one turn.
         """
-        self.search.retry_undecided()
+        self.search.decisions.retry_due()
         for segment in self.parked.pop_expired():
             self.expire(segment)
         looked_at: Counter[str] = Counter()
