The flow of a service that left is found at few of its hosts

What callers would see: nothing wrong, but a new balancer sent the first packet of a flow whose service had left to every host of that service (40 of 40 in the test), and probed those that had not answered yet. At 1,000 such hosts each of the first searches would send 1,000 packets.

Cause: hosts that were never heard are added to a search in passing, since those that the history names have mostly ended, and hosts of unconfigured services were treated alike. They also stood unranked behind all others.

Why this works: they are listed, so they are taken to answer until a probe was missed, rank as they did when flows were placed, and are probed only once a search has asked them. The test's flow is found at 8 hosts at most.

Also: a late answer for a flow that changed its service is left out only if the flow was not offered to that agent since; an address that goes to another service delays no opening (it did not in any test, found by reading). Only a host of an unconfigured service is marked as draining by the removal of such an entry.

--- a/chicorycart/steering/choice.py
+++ b/chicorycart/steering/choice.py
@@ -79,8 +79,9 @@
     ) -> list[Address]:
         """Return the agents that may hold an open flow, most likely first.
 
-        Draining and leaving targets keep the places that they had when flows
-        were placed on them.
+        Draining and leaving targets, and those of a service that left the
+        configuration, keep the places that they had when flows were placed on
+        them.
 
         Parameters
         ----------
@@ -99,7 +100,7 @@
             return []
         targets = [
             *((True, m.target) for m in members if m.lapses_at is None),
-            *((True, v.target) for v in vanished if v.is_leaving),
+            *((True, v.target) for v in vanished if v.keeps_rank),
             *((False, m.target) for m in members if m.lapses_at is not None),
         ]
         targets.sort(
@@ -108,7 +109,7 @@
         )
         return [
             *(target.agent for _, target in targets),
-            *(v.target.agent for v in vanished if not v.is_leaving),
+            *(v.target.agent for v in vanished if not v.keeps_rank),
         ]
 
     def choose(
--- a/chicorycart/steering/placing.py
+++ b/chicorycart/steering/placing.py
@@ -303,7 +303,9 @@
         """
         member = self.choice.directory.find_by_host(agent.host)
         has_left = (
-            member is not None and member.listing.service != state.service
+            agent not in state.tried
+            and member is not None
+            and member.listing.service != state.service
         )
         if state.is_confirmed or state.agent != agent or has_left:
             return
--- a/chicorycart/steering/searching.py
+++ b/chicorycart/steering/searching.py
@@ -217,9 +217,9 @@
         """Send a packet of an open flow to agents whose hosts may hold it."""
         state.asked_at = self.health.clock.now()
         self.held.set_probe(segment)
-        if segment.has_contents:
-            for agent in agents:
-                self.directory.vanished.record_question(agent)
+        vanished = self.directory.vanished
+        for agent in agents:
+            vanished.record_question(agent, segment.has_contents)
         if all(map(self.health.is_suspended, agents)):
             self.parked.put_data(segment, state)
         if self.candidates.depends_on_probes(state):
--- a/chicorycart/steering/unconfigured.py
+++ b/chicorycart/steering/unconfigured.py
@@ -93,7 +93,11 @@
         self.record(listing)
         agent = Address(listing.address.host, self.agent_port)
         vanished = self.vanished.find(agent)
-        if vanished is not None and vanished.target.name == listing.name:
+        if (
+            vanished is not None
+            and vanished.is_unconfigured
+            and vanished.target.name == listing.name
+        ):
             vanished.was_draining = listing.state is ListedState.DRAINING
 
     def discard_entry(self, name: str) -> None:
--- a/chicorycart/steering/vanished_targets.py
+++ b/chicorycart/steering/vanished_targets.py
@@ -34,6 +34,8 @@
     is_unconfigured : bool
         Whether no known configuration names its service. Its entry may be one
         of another program then, and nothing at its address an agent.
+    was_asked : bool
+        Whether a search has sent it a packet.
     was_heard : bool
         Whether its agent was heard since it is known that it vanished, or
         was known before.
@@ -57,6 +59,7 @@
         "was_draining",
         "is_unconfigured",
         "has_ended",
+        "was_asked",
         "was_heard",
         "unanswered_probes",
         "probed_at",
@@ -80,6 +83,7 @@
         self.was_draining = was_draining
         self.is_unconfigured = False
         self.has_ended = False
+        self.was_asked = False
         self.was_heard = was_heard
         self.unanswered_probes = 0
         self.probed_at = probed_at
@@ -92,16 +96,23 @@
         """Whether its host may still end its work."""
         return self.was_draining and not self.has_ended
 
+    @property
+    def keeps_rank(self) -> bool:
+        """Whether it ranks for a flow as it did when flows were placed."""
+        return self.is_leaving or self.is_unconfigured
+
     @property
     def is_probed(self) -> bool:
         """Whether probes decide if its host may hold flows."""
         return self.was_draining or (
-            self.is_unconfigured and not self.was_heard
+            self.is_unconfigured and self.was_asked and not self.was_heard
         )
 
     @property
     def is_silent(self) -> bool:
         """Whether its agent is not expected to answer at once."""
+        if self.is_unconfigured:
+            return self.unanswered_probes > 0
         return not self.was_heard or self.unanswered_probes > 0
 
 
@@ -251,11 +262,22 @@
         vanished = self.by_agent.get(agent)
         return vanished is not None and vanished.has_ended
 
-    def record_question(self, agent: Address) -> None:
-        """Note that a target was sent a packet that its host has to answer."""
+    def record_question(self, agent: Address, is_answered: bool) -> None:
+        """Note that a search sent a target a packet.
+
+        Parameters
+        ----------
+        agent : Address
+            The target's agent.
+        is_answered : bool
+            Whether its host has to answer the packet if it holds the flow.
+        """
         vanished = self.by_agent.get(agent)
         if vanished is None:
             return
+        vanished.was_asked = True
+        if not is_answered:
+            return
         if not vanished.questions:
             vanished.asked_at = self.clock.now()
         vanished.questions += 1
--- a/tests/steering/entry_services.feature
+++ b/tests/steering/entry_services.feature
@@ -190,6 +190,16 @@
       | other program first | an entry of another program precedes that of each host of "catalogue" | 0 ms pass |
       | agents restart      | the store forgets its history                            | the agents of "catalogue" are down for 0.7 s while the callers ask |
 
+  # A search asked all hosts of the service at once, and probed the others.
+  Scenario: The flow of a service that left is found at few of its hosts
+    Given a fleet of 2 hosts and 1 balancers
+    And 40 hosts of service "catalogue"
+    And the route leads to "catalogue 1"
+    And 1 open flows
+    When the route leads to "dispatch 1" and no other service is configured
+    And balancer "b1" is replaced
+    Then every open flow gets an answer while at most 8 hosts of "catalogue" get packets
+
   # An agent that declined a packet as that of another service counted as one
   # whose host had returned it.
   Scenario: Flows are found at a host that took over an address of which their balancer has not learnt
--- a/tests/steering/entry_services_steps.py
+++ b/tests/steering/entry_services_steps.py
@@ -328,6 +328,31 @@
     context.run(remove())
 
 
+@then(
+    "every open flow gets an answer while at most {count:d} hosts of"
+    ' "{service}" get packets'
+)
+def check_asked(context, count, service):
+    fleet = context.fleet
+    names = list_hosts(context, service)
+    links = {fleet.agents[name].settings.link for name in names}
+    asked = set()
+
+    def record(source, data, destination):
+        if destination in links:
+            asked.add(destination)
+        return False
+
+    async def ask():
+        fleet.network.faults.append(record)
+        results = await ask_open_flows(context)
+        await sleep(LEARN_SECONDS)
+        return results
+
+    assert all(context.run(ask()))
+    assert len(asked) <= count, len(asked)
+
+
 @when("{milliseconds:d} ms pass")
 def pass_milliseconds(context, milliseconds):
     context.run(sleep(milliseconds / 1000))
